--- /dev/null
+++ b/commands/root.go
@@ -0,0 +1,83 @@
+// Package commands holds the command line of sassafrasplank, one file for each
+// command.
+package commands
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes of the program.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadUsage = 2
+)
+
+// usageError is a mistake on the command line.
+type usageError struct {
+	message string
+}
+
+// Error describes the mistake.
+func (e *usageError) Error() string { return e.message }
+
+func badUsage(format string, args ...any) error {
+	return &usageError{message: fmt.Sprintf(format, args...)}
+}
+
+// Execute runs the command that args name and returns its exit code.
+func Execute(args []string) int {
+	return run(context.Background(), args, os.Stdout, os.Stderr)
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot(stdout, stderr)
+	err := root.Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(stderr, err)
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return exitBadUsage
+	}
+	return exitFailed
+}
+
+func newRoot(stdout, stderr io.Writer) *cli.Command {
+	root := &cli.Command{
+		Name:      "sassafrasplank",
+		Usage:     "place language-model jobs of many client accounts onto shared engines",
+		Writer:    stdout,
+		ErrWriter: stderr,
+		Commands: []*cli.Command{
+			newServe(),
+			newDev(),
+			newStandin(),
+			newCheck(),
+			newRecord(),
+			newLoad(),
+			newVersion(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return badUsage("%v", err)
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if name := cmd.Args().First(); name != "" {
+				return badUsage("%s is not a command; see sassafrasplank --help", name)
+			}
+			return cli.ShowAppHelp(cmd)
+		},
+	}
+	for _, command := range root.Commands {
+		command.OnUsageError = root.OnUsageError
+	}
+	return root
+}
--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,217 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/dispatch"
+)
+
+// answerShape holds the parts in which chat and plain completions differ.
+type answerShape struct {
+	idPrefix     string
+	object       string
+	streamObject string
+	// before and after enclose the text of a token in a stream.
+	before string
+	after  string
+	chat   bool
+}
+
+var (
+	chatShape = answerShape{
+		idPrefix: "chatcmpl-", object: "chat.completion", streamObject: "chat.completion.chunk",
+		before: `"delta":{"content":`, after: `}`, chat: true,
+	}
+	textShape = answerShape{
+		idPrefix: "cmpl-", object: "text_completion", streamObject: "text_completion",
+		before: `"text":`,
+	}
+)
+
+// answerWriter holds what streamed and whole answers share.
+type answerWriter struct {
+	shape       answerShape
+	model       string
+	created     int64
+	id          string
+	version     string
+	response    *echo.Response
+	controller  *http.ResponseController
+	clock       clock.Clock
+	writeWithin time.Duration
+}
+
+// streamSink writes an answer as server-sent events.
+type streamSink struct {
+	*answerWriter
+	head  []byte
+	line  []byte
+	begun bool
+}
+
+// Begin writes the header of the response.
+func (s *streamSink) Begin(requestID, version string) error {
+	s.begun = true
+	s.id, s.version = requestID, version
+	header := s.response.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	header.Set("X-Request-Id", requestID)
+	s.response.WriteHeader(http.StatusOK)
+	model, err := json.Marshal(s.model)
+	if err != nil {
+		return err
+	}
+	head := `data: {"id":"` + s.shape.idPrefix + requestID + `","object":"` + s.shape.streamObject +
+		`","created":` + strconv.FormatInt(s.created, 10) + `,"model":` + string(model) +
+		`,"choices":[{"index":0,` + s.shape.before
+	s.head = []byte(head)
+	return nil
+}
+
+// Token writes one event.
+func (s *streamSink) Token(text string) error {
+	quoted, err := json.Marshal(text)
+	if err != nil {
+		return err
+	}
+	s.line = append(s.line[:0], s.head...)
+	s.line = append(s.line, quoted...)
+	s.line = append(s.line, s.shape.after...)
+	s.line = append(s.line, `,"finish_reason":null}]}`...)
+	s.line = append(s.line, '\n', '\n')
+	_, err = s.response.Write(s.line)
+	return err
+}
+
+// Flush passes the events on to the caller.
+func (s *streamSink) Flush() error {
+	_ = s.controller.SetWriteDeadline(s.clock.Now().Add(s.writeWithin))
+	return s.controller.Flush()
+}
+
+// end writes the last event: the finish reason, or an error. An error before
+// the first token is left to the error handler.
+func (s *streamSink) end(usage dispatch.Usage, err error) error {
+	if err != nil && !s.begun {
+		return err
+	}
+	if err != nil {
+		body, marshalErr := json.Marshal(bodyOf(failure.From(err)))
+		if marshalErr != nil {
+			return marshalErr
+		}
+		return s.event(body)
+	}
+	last, err := json.Marshal(s.lastChunk(usage))
+	if err != nil {
+		return err
+	}
+	if err := s.event(last); err != nil {
+		return err
+	}
+	return s.event([]byte("[DONE]"))
+}
+
+func (s *streamSink) event(data []byte) error {
+	s.line = append(s.line[:0], "data: "...)
+	s.line = append(s.line, data...)
+	s.line = append(s.line, '\n', '\n')
+	if _, err := s.response.Write(s.line); err != nil {
+		return err
+	}
+	return s.Flush()
+}
+
+type usageBody struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+	CachedTokens     int `json:"cached_tokens"`
+}
+
+type choiceBody struct {
+	Index        int       `json:"index"`
+	Message      *Message  `json:"message,omitempty"`
+	Text         *string   `json:"text,omitempty"`
+	Delta        *struct{} `json:"delta,omitempty"`
+	FinishReason string    `json:"finish_reason"`
+}
+
+type answerBody struct {
+	ID            string       `json:"id"`
+	Object        string       `json:"object"`
+	Created       int64        `json:"created"`
+	Model         string       `json:"model"`
+	WeightVersion string       `json:"weight_version"`
+	Choices       []choiceBody `json:"choices"`
+	Usage         usageBody    `json:"usage"`
+}
+
+func (w *answerWriter) body(object string, usage dispatch.Usage, choice choiceBody) answerBody {
+	return answerBody{
+		ID:            w.shape.idPrefix + usage.RequestID,
+		Object:        object,
+		Created:       w.created,
+		Model:         w.model,
+		WeightVersion: usage.Version,
+		Choices:       []choiceBody{choice},
+		Usage: usageBody{
+			PromptTokens:     usage.PromptTokens,
+			CompletionTokens: usage.AnswerTokens,
+			TotalTokens:      usage.PromptTokens + usage.AnswerTokens,
+			CachedTokens:     usage.ReusedTokens,
+		},
+	}
+}
+
+func (w *answerWriter) lastChunk(usage dispatch.Usage) answerBody {
+	choice := choiceBody{FinishReason: usage.FinishReason}
+	if w.shape.chat {
+		choice.Delta = &struct{}{}
+	} else {
+		choice.Text = new(string)
+	}
+	return w.body(w.shape.streamObject, usage, choice)
+}
+
+// wholeSink gathers an answer.
+type wholeSink struct {
+	*answerWriter
+	text strings.Builder
+}
+
+// Begin notes the id of the request.
+func (s *wholeSink) Begin(requestID, version string) error {
+	s.id, s.version = requestID, version
+	s.response.Header().Set("X-Request-Id", requestID)
+	return nil
+}
+
+// Token gathers the next token.
+func (s *wholeSink) Token(text string) error {
+	s.text.WriteString(text)
+	return nil
+}
+
+// Flush does nothing, since the answer is written whole.
+func (s *wholeSink) Flush() error { return nil }
+
+func (s *wholeSink) whole(usage dispatch.Usage) answerBody {
+	choice := choiceBody{FinishReason: usage.FinishReason}
+	text := s.text.String()
+	if s.shape.chat {
+		choice.Message = &Message{Role: "assistant", Content: Content(text)}
+	} else {
+		choice.Text = &text
+	}
+	return s.body(s.shape.object, usage, choice)
+}
--- /dev/null
+++ b/internal/caller/body.go
@@ -0,0 +1,68 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+func sortedModels(set *record.Set) []string {
+	return slices.Sorted(maps.Keys(set.Models))
+}
+
+// readBody reads a request body within the limits of size and time.
+func (s *Server) readBody(c echo.Context) ([]byte, error) {
+	controller := http.NewResponseController(c.Response().Writer)
+	_ = controller.SetReadDeadline(s.Clock.Now().Add(s.Config.BodyTimeout.Duration))
+	limited := http.MaxBytesReader(c.Response(), c.Request().Body, s.Config.BodyBytes)
+	data, err := io.ReadAll(limited)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, failure.NotRun(http.StatusRequestEntityTooLarge, failure.TooLarge,
+			"the body is longer than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, failure.NotRun(http.StatusBadRequest, failure.BadRequest, "reading the body: %v", err)
+	}
+	// The stream that follows must not be cut by the limit on the body.
+	_ = controller.SetReadDeadline(noDeadline)
+	return data, nil
+}
+
+// decode reads a JSON body and reports an error with its line and column.
+func decode(data []byte, value any) error {
+	err := json.Unmarshal(data, value)
+	if err == nil {
+		return nil
+	}
+	offset := int64(-1)
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		offset = syntax.Offset
+	case errors.As(err, &kind):
+		offset = kind.Offset
+	}
+	if offset < 0 {
+		return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "body: %v", err)
+	}
+	line, column := position(data, offset)
+	return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "body:%d:%d: %v", line, column, err)
+}
+
+func position(data []byte, offset int64) (line, column int) {
+	before := data[:min(int64(len(data)), max(0, offset-1))]
+	line = bytes.Count(before, []byte("\n")) + 1
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
--- /dev/null
+++ b/internal/caller/completion.go
@@ -0,0 +1,157 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/dispatch"
+)
+
+const (
+	// defaultMaxTokens bounds an answer when the caller names no bound.
+	defaultMaxTokens = 256
+	// mostMaxTokens is the largest bound that a caller may name.
+	mostMaxTokens = 128 << 10
+)
+
+var noDeadline time.Time
+
+// Message is one message of a conversation.
+type Message struct {
+	Role    string  `json:"role"`
+	Content Content `json:"content"`
+}
+
+// Content is the text of a message, given as a string or as text parts.
+type Content string
+
+// UnmarshalJSON reads a string, or an array of text parts, which are joined.
+func (t *Content) UnmarshalJSON(data []byte) error {
+	var text string
+	if json.Unmarshal(data, &text) == nil {
+		*t = Content(text)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return err
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "content of type %q is not supported", part.Type)
+		}
+		joined.WriteString(part.Text)
+	}
+	*t = Content(joined.String())
+	return nil
+}
+
+type chatRequest struct {
+	Model               string    `json:"model"`
+	Messages            []Message `json:"messages"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	Stream              bool      `json:"stream"`
+}
+
+type completionRequest struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// ChatPrompt returns the prompt that a conversation makes. A conversation that
+// goes on begins with the prompt of its beginning.
+func ChatPrompt(messages []Message) string {
+	var prompt strings.Builder
+	for _, m := range messages {
+		text, err := json.Marshal(m)
+		if err != nil {
+			continue
+		}
+		prompt.Write(text)
+		prompt.WriteByte('\n')
+	}
+	return prompt.String()
+}
+
+func (s *Server) chat(c echo.Context) error {
+	data, err := s.readBody(c)
+	if err != nil {
+		return err
+	}
+	var request chatRequest
+	if err := decode(data, &request); err != nil {
+		return err
+	}
+	if len(request.Messages) == 0 {
+		return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "messages: at least one message is required")
+	}
+	g := &dispatch.Generation{
+		Account:   accountOf(c),
+		Model:     request.Model,
+		Prompt:    ChatPrompt(request.Messages),
+		MaxTokens: max(request.MaxTokens, request.MaxCompletionTokens),
+	}
+	return s.generate(c, g, request.Stream, chatShape)
+}
+
+func (s *Server) complete(c echo.Context) error {
+	data, err := s.readBody(c)
+	if err != nil {
+		return err
+	}
+	var request completionRequest
+	if err := decode(data, &request); err != nil {
+		return err
+	}
+	if request.Prompt == "" {
+		return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "prompt: a text is required")
+	}
+	g := &dispatch.Generation{
+		Account:   accountOf(c),
+		Model:     request.Model,
+		Prompt:    request.Prompt,
+		MaxTokens: request.MaxTokens,
+	}
+	return s.generate(c, g, request.Stream, textShape)
+}
+
+// generate runs a request and writes its answer as a stream or whole.
+func (s *Server) generate(c echo.Context, g *dispatch.Generation, stream bool, shape answerShape) error {
+	if g.Model == "" {
+		return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "model: a name is required")
+	}
+	if g.MaxTokens == 0 {
+		g.MaxTokens = defaultMaxTokens
+	}
+	if g.MaxTokens < 0 || g.MaxTokens > mostMaxTokens {
+		return failure.NotRun(http.StatusBadRequest, failure.BadRequest,
+			"max_tokens: want 1 to %d tokens, got %d", mostMaxTokens, g.MaxTokens)
+	}
+	answer := &answerWriter{shape: shape, model: g.Model, created: s.Clock.Now().Unix(), response: c.Response()}
+	answer.controller = http.NewResponseController(c.Response().Writer)
+	answer.writeWithin = s.Config.StreamIdle.Duration
+	answer.clock = s.Clock
+	if stream {
+		sink := &streamSink{answerWriter: answer}
+		usage, err := s.Dispatcher.Generate(c.Request().Context(), g, sink)
+		return sink.end(usage, err)
+	}
+	sink := &wholeSink{answerWriter: answer}
+	usage, err := s.Dispatcher.Generate(c.Request().Context(), g, sink)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, sink.whole(usage))
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,159 @@
+// Package caller serves the callers: the OpenAI-compatible interface for
+// language models and the path to the plain services.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"sassafrasplank.example/sassafrasplank/internal/booking"
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/config"
+	"sassafrasplank.example/sassafrasplank/internal/dispatch"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+// Dispatcher runs requests on targets.
+type Dispatcher interface {
+	Generate(ctx context.Context, g *dispatch.Generation, sink dispatch.Sink) (dispatch.Usage, error)
+	CallService(ctx context.Context, call *dispatch.ServiceCall) (target.ServiceAnswer, error)
+}
+
+// Booker runs calls that may not be repeated.
+type Booker interface {
+	Book(ctx context.Context, r *booking.Request, call booking.Caller) (target.ServiceAnswer, error)
+}
+
+// RecordProvider gives the records in force.
+type RecordProvider interface {
+	Current() *record.Set
+}
+
+// Server answers callers. The exported fields are set before Handler.
+type Server struct {
+	Config     config.Callers
+	Clock      clock.Clock
+	Records    RecordProvider
+	Dispatcher Dispatcher
+	Bookings   Booker
+	// Stopping reports whether callers shall close their connections.
+	Stopping func() bool
+}
+
+const accountKey = "clientAccount"
+
+// Handler returns the HTTP interface for callers.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = s.handleError
+	e.Use(s.closeWhenStopping)
+	authorized := e.Group("", s.authorize)
+	authorized.POST("/v1/chat/completions", s.chat)
+	authorized.POST("/v1/completions", s.complete)
+	authorized.GET("/v1/models", s.models)
+	authorized.Any("/services/:service/*", s.service)
+	authorized.Any("/services/:service", s.service)
+	return e
+}
+
+// closeWhenStopping lets the balancer move connections to other hosts.
+func (s *Server) closeWhenStopping(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.Stopping() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
+// authorize finds the client account of the caller's key.
+func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		header := c.Request().Header.Get("Authorization")
+		key, ok := strings.CutPrefix(header, "Bearer ")
+		if !ok {
+			return failure.NotRun(http.StatusUnauthorized, failure.WrongKey, "want the header Authorization: Bearer KEY")
+		}
+		account, ok := s.Records.Current().AccountOf(key, s.Clock.Now())
+		if !ok {
+			return failure.NotRun(http.StatusUnauthorized, failure.WrongKey, "the key belongs to no client account")
+		}
+		c.Set(accountKey, account)
+		return next(c)
+	}
+}
+
+func accountOf(c echo.Context) string {
+	account, _ := c.Get(accountKey).(string)
+	return account
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	NotRun  bool   `json:"notRun"`
+}
+
+func bodyOf(f *failure.Error) errorBody {
+	kind := "server_error"
+	if f.Status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return errorBody{Error: errorDetail{Message: f.Message, Type: kind, Code: string(f.Code), NotRun: f.NotRun}}
+}
+
+// handleError writes an error in the OpenAI shape.
+func (s *Server) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	f := s.failureOf(err)
+	if f.RetryAfter > 0 {
+		seconds := int(f.RetryAfter.Seconds() + 0.999)
+		c.Response().Header().Set("Retry-After", strconv.Itoa(max(1, seconds)))
+	}
+	_ = c.JSON(f.Status, bodyOf(f))
+}
+
+func (s *Server) failureOf(err error) *failure.Error {
+	if routing, ok := err.(*echo.HTTPError); ok { //nolint:errorlint // echo returns this type unwrapped.
+		return failure.NotRun(routing.Code, failure.BadRequest, "%v", routing.Message)
+	}
+	return failure.From(err)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models that a routing rule offers to the caller.
+func (s *Server) models(c echo.Context) error {
+	set := s.Records.Current()
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range sortedModels(set) {
+		if _, ok := set.RuleFor(name, accountOf(c)); ok {
+			list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "sassafrasplank"})
+		}
+	}
+	return c.JSON(http.StatusOK, list)
+}
--- /dev/null
+++ b/internal/common/jsonc/document.go
@@ -0,0 +1,115 @@
+// Package jsonc decodes JSON with comments into Go structs and reports every
+// unknown field and wrong type together with its line and column.
+package jsonc
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"sassafrasplank.example/sassafrasplank/pkg/finding"
+)
+
+// Document is a parsed text whose values can be located by JSON pointer.
+type Document struct {
+	source string
+	data   []byte
+	root   hujson.Value
+}
+
+// Parse reads one JSON value with comments. A syntax error is returned as a
+// finding.
+func Parse(source string, data []byte) (*Document, error) {
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return nil, syntaxError(source, err).Err()
+	}
+	return &Document{source: source, data: data, root: root}, nil
+}
+
+// Elements returns the members of a top-level array, or the document itself
+// when its top level is no array.
+func (d *Document) Elements() []*Document {
+	array, ok := d.root.Value.(*hujson.Array)
+	if !ok {
+		return []*Document{d}
+	}
+	docs := make([]*Document, 0, len(array.Elements))
+	for _, element := range array.Elements {
+		docs = append(docs, &Document{source: d.source, data: d.data, root: element})
+	}
+	return docs
+}
+
+// IsArray reports whether the top level is an array.
+func (d *Document) IsArray() bool {
+	_, ok := d.root.Value.(*hujson.Array)
+	return ok
+}
+
+// Has reports whether a JSON pointer names a value.
+func (d *Document) Has(pointer string) bool { return d.root.Find(pointer) != nil }
+
+// Place returns where the value named by a JSON pointer stands. The longest
+// part of the pointer that exists decides.
+func (d *Document) Place(pointer string) finding.Place {
+	for pointer != "" {
+		if v := d.root.Find(pointer); v != nil {
+			return d.placeAt(v.StartOffset)
+		}
+		pointer = pointer[:strings.LastIndexByte(pointer, '/')]
+	}
+	return d.placeAt(d.root.StartOffset)
+}
+
+// JSON returns the document as standard JSON.
+func (d *Document) JSON() ([]byte, error) {
+	value := d.root.Clone()
+	value.Standardize()
+	packed := value.Pack()
+	if !json.Valid(packed) {
+		return nil, fmt.Errorf("%s: not valid JSON after removing comments", d.source)
+	}
+	return packed, nil
+}
+
+// Decode fills target, a pointer to a struct, and returns all unknown fields,
+// repeated fields and wrong types at once.
+func (d *Document) Decode(target any) finding.List {
+	w := walker{doc: d}
+	w.check(&d.root, typeOf(target), "")
+	if len(w.findings) > 0 {
+		w.findings.Sort()
+		return w.findings
+	}
+	text, err := d.JSON()
+	if err == nil {
+		err = json.Unmarshal(text, target)
+	}
+	return finding.From(err, d.Place(""))
+}
+
+func (d *Document) placeAt(offset int) finding.Place {
+	before := string(d.data[:min(offset, len(d.data))])
+	line := strings.Count(before, "\n") + 1
+	column := len(before) - strings.LastIndexByte(before, '\n')
+	return finding.Place{Source: d.source, Line: line, Column: column}
+}
+
+func syntaxError(source string, err error) finding.List {
+	var place finding.Place
+	place.Source = source
+	message := strings.TrimPrefix(err.Error(), "hujson: ")
+	var rest string
+	if n, _ := fmt.Sscanf(message, "line %d, column %d:", &place.Line, &place.Column); n == 2 {
+		if _, after, ok := strings.Cut(message, ": "); ok {
+			rest = after
+		}
+	}
+	if rest == "" {
+		rest = message
+	}
+	return finding.List{{Place: place, Message: rest}}
+}
--- /dev/null
+++ b/internal/dispatch/admit.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/admission"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+)
+
+// tickEvery is the time between two looks at capacity, limits and deadlines.
+const tickEvery = 250 * time.Millisecond
+
+// acquire waits until the job is admitted. The caller must release it.
+func (d *Dispatcher) acquire(ctx context.Context, job *admission.Job) error {
+	admitted := make(chan struct{})
+	now := d.Clock.Now()
+	d.mu.Lock()
+	refusal := d.queue.Offer(now, job)
+	if refusal == nil {
+		d.ready[job] = admitted
+		d.admitReady(now)
+	}
+	d.mu.Unlock()
+	if refusal != nil {
+		d.count("admission.refused")
+		return refused(refusal)
+	}
+	select {
+	case <-admitted:
+		return nil
+	case <-ctx.Done():
+		return d.giveUp(job, failure.NotRun(499, failure.DeadlineExceeded, "the caller went away"))
+	case <-d.Clock.After(job.Deadline.Sub(now)):
+		d.count("admission.expired")
+		return d.giveUp(job, failure.Busy(failure.Overloaded, time.Second, "not admitted within its deadline"))
+	}
+}
+
+// giveUp withdraws a job. A job that was admitted in the meantime is released.
+func (d *Dispatcher) giveUp(job *admission.Job, err error) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.ready, job)
+	if !d.queue.Withdraw(job) {
+		d.queue.Done(job, 0)
+		d.admitReady(d.Clock.Now())
+	}
+	return err
+}
+
+// release ends an admitted job and admits the next ones.
+func (d *Dispatcher) release(job *admission.Job, actualWork float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue.Done(job, actualWork)
+	d.admitReady(d.Clock.Now())
+}
+
+// admitReady wakes the jobs that may run now. The lock must be held.
+func (d *Dispatcher) admitReady(now time.Time) {
+	for job := d.queue.Next(now); job != nil; job = d.queue.Next(now) {
+		close(d.ready[job])
+		delete(d.ready, job)
+	}
+}
+
+func refused(r *admission.Refusal) error {
+	wait := max(r.RetryAfter, time.Second)
+	switch r.Reason {
+	case admission.RefusedRate, admission.RefusedInFlight:
+		return failure.Busy(failure.RateLimited, wait, "the client account is over its limit")
+	case admission.RefusedQueueFull, admission.RefusedDeadline:
+		return failure.Busy(failure.Overloaded, wait, "too much work is waiting (%s)", r.Reason)
+	default:
+		return failure.Busy(failure.Overloaded, wait, "refused: %s", r.Reason)
+	}
+}
+
+// tick refreshes capacity and limits from the records and the peers' reports.
+func (d *Dispatcher) tick(context.Context) {
+	set := d.Records.Current()
+	loads := d.Peers.Loads()
+	now := d.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if set.Revision != d.revision {
+		d.revision = set.Revision
+		d.applyRecords(now, set)
+	}
+	for _, name := range d.targetNames(set) {
+		load := loads[name]
+		d.board.SetPeerLoad(now, name, placement.PeerLoad{
+			Requests:      load.Requests,
+			PrefillTokens: load.PrefillTokens,
+			Slowness:      load.Slowness,
+		})
+	}
+	d.shareLimits(now)
+	d.admitReady(now)
+}
+
+// shareLimits gives this host its part of the capacity and of each account's
+// limits, by the demand that the peers report.
+func (d *Dispatcher) shareLimits(now time.Time) {
+	hosts := d.Peers.Hosts()
+	demands := d.queue.Demands(now)
+	own := 0
+	tokens := make(map[string]admission.Demand, len(demands))
+	for _, demand := range demands {
+		own += demand.InFlight
+		tokens[demand.Account] = demand
+	}
+	peers, fresh := d.Peers.InFlight()
+	share := admission.Share(float64(own), float64(own+peers), hosts, fresh)
+	capacity := float64(d.board.Slots()) * d.Config.Admission.FillFactor * share
+	d.queue.SetCapacity(int(math.Ceil(capacity)))
+	for name, account := range d.Records.Current().Accounts {
+		mine := tokens[name]
+		theirs, inFlight, fresh := d.Peers.AccountDemand(name)
+		limits := admission.Limits{}
+		if account.Limits.TokensPerSecond > 0 {
+			part := admission.Share(mine.TokensPerSecond, mine.TokensPerSecond+theirs, hosts, fresh)
+			limits.TokensPerSecond = account.Limits.TokensPerSecond * part
+		}
+		if account.Limits.InFlight > 0 {
+			part := admission.Share(float64(mine.InFlight), float64(mine.InFlight+inFlight), hosts, fresh)
+			limits.InFlight = max(1, int(float64(account.Limits.InFlight)*part))
+		}
+		d.queue.SetAccount(name, account.Weight, limits)
+	}
+}
+
+// PeerReport tells the peers what this host runs and what is asked of it.
+func (d *Dispatcher) PeerReport() peer.Report {
+	now := d.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	report := peer.Report{RequestsInFlight: d.queue.Running() + d.queue.Waiting()}
+	for _, demand := range d.queue.Demands(now) {
+		report.Demands = append(report.Demands, peer.AccountDemand(demand))
+	}
+	for _, load := range d.board.InFlight(now) {
+		report.Loads = append(report.Loads, peer.TargetLoad(load))
+	}
+	d.suspects.All(now, func(fingerprint string, crashes int) {
+		if len(report.Suspects) < suspectsTold {
+			report.Suspects = append(report.Suspects, peer.Suspect{Fingerprint: fingerprint, Crashes: crashes})
+		}
+	})
+	return report
+}
+
+// suspectsTold bounds the suspects in one report.
+const suspectsTold = 64
+
+// MergeSuspects takes in the suspects of a peer.
+func (d *Dispatcher) MergeSuspects(suspects []peer.Suspect) {
+	now := d.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range suspects {
+		d.suspects.Merge(now, s.Fingerprint, s.Crashes)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,177 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+// cancelTimeout bounds the order that cancels a losing attempt.
+const cancelTimeout = 2 * time.Second
+
+// attempt is one try of a request on one target.
+type attempt struct {
+	number   int
+	url      string
+	ticket   placement.Ticket
+	decision placement.Decision
+	cancel   context.CancelFunc
+	gapFrom  time.Time
+	gapCount int
+}
+
+// attemptEvent is what an attempt tells its run.
+type attemptEvent struct {
+	attempt int
+	event   target.RunEvent
+	err     error
+}
+
+// launch starts an attempt on the best target. It waits a while for a target
+// when there is none.
+func (r *run) launch(ctx context.Context) error {
+	until := r.d.Clock.Now().Add(r.d.Config.Admission.QueueWait.Duration)
+	for {
+		started, reason := r.start(ctx, "place")
+		if started {
+			return nil
+		}
+		if len(r.request.Exclude) > 0 {
+			// The targets tried before are better than none.
+			r.request.Exclude = nil
+		}
+		if !r.d.Clock.Now().Before(until) {
+			return r.fail(failure.NoTarget, "no target can run model %s version %s (%s)", r.request.Model, r.request.Version, reason)
+		}
+		if clock.Sleep(ctx, r.d.Clock, noTargetPause) != nil {
+			return r.fail(failure.DeadlineExceeded, "the request ended before its answer: %v", ctx.Err())
+		}
+	}
+}
+
+// start places the request and begins an attempt.
+func (r *run) start(ctx context.Context, action string) (bool, placement.Reason) {
+	set := r.d.Records.Current()
+	at := &attempt{}
+	now := r.d.Clock.Now()
+	r.d.mu.Lock()
+	r.d.board.Place(now, &r.request, &at.decision)
+	spec := set.Targets[at.decision.Target]
+	if spec == nil {
+		r.d.mu.Unlock()
+		return false, at.decision.Reason
+	}
+	at.ticket = r.d.board.Start(now, &r.request, &at.decision)
+	r.d.mu.Unlock()
+	r.attempts++
+	at.number = r.attempts
+	at.url = spec.URL
+	r.active[at.number] = at
+	r.d.logPlacement(r, at, action)
+	ctx, at.cancel = context.WithCancel(ctx)
+	run := r.runRequest(at)
+	go r.d.stream(ctx, at, run, r.request.Chain, r.events)
+	return true, at.decision.Reason
+}
+
+func (r *run) runRequest(at *attempt) *target.RunRequest {
+	keys := make([]string, len(r.request.Chain))
+	for i, key := range r.request.Chain {
+		keys[i] = key.String()
+	}
+	return &target.RunRequest{
+		RequestID:       r.id,
+		Attempt:         at.number,
+		ClientAccount:   r.request.Account,
+		Model:           r.request.Model,
+		Version:         r.request.Version,
+		Prompt:          r.generation.Prompt,
+		PromptTokens:    r.request.PromptTokens,
+		PieceKeys:       keys,
+		PieceTokens:     r.d.Config.Placement.PieceTokens,
+		MaxTokens:       r.generation.MaxTokens,
+		Priority:        r.priority(),
+		DeliveredTokens: r.tokens,
+		Delivered:       r.text.String(),
+	}
+}
+
+func (r *run) priority() int {
+	switch {
+	case r.request.Long:
+		return priorityLong
+	case r.job.InShare():
+		return priorityInShare
+	default:
+		return priorityOver
+	}
+}
+
+// stream carries out an attempt and passes its events on until ctx ends.
+func (d *Dispatcher) stream(ctx context.Context, at *attempt, run *target.RunRequest, chain chainKeys, events chan<- attemptEvent) {
+	if at.decision.Source() == placement.SourceStore {
+		d.importPrefix(ctx, at, run, chain)
+	}
+	stream, err := d.Targets.Run(ctx, at.url, run)
+	if err != nil {
+		send(ctx, events, attemptEvent{attempt: at.number, err: err})
+		return
+	}
+	defer stream.Close()
+	for {
+		event, err := stream.Next()
+		if !send(ctx, events, attemptEvent{attempt: at.number, event: event, err: err}) || err != nil {
+			return
+		}
+		if event.FinishReason != "" {
+			return
+		}
+	}
+}
+
+func send(ctx context.Context, events chan<- attemptEvent, event attemptEvent) bool {
+	select {
+	case events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// end takes an attempt off the board.
+func (r *run) end(at *attempt) {
+	delete(r.active, at.number)
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	r.d.board.Finish(r.d.Clock.Now(), &at.ticket)
+}
+
+// cancel stops an attempt that lost and tells its target.
+func (r *run) cancel(at *attempt) {
+	r.end(at)
+	at.cancel()
+	r.sent = true
+	r.d.running.Add(1)
+	go func() {
+		defer r.d.running.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_ = r.d.Targets.Cancel(ctx, at.url, r.id, at.number)
+	}()
+}
+
+// closeAttempts ends whatever is still running.
+func (r *run) closeAttempts() {
+	for _, at := range r.active {
+		if !r.done {
+			r.cancel(at)
+			continue
+		}
+		r.end(at)
+		at.cancel()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,227 @@
+// Package dispatch carries requests from admission over placement to a target
+// and back. It applies the decisions of the pure packages and keeps their
+// state behind one lock.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasplank.example/sassafrasplank/internal/admission"
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/config"
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/lengths"
+	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/retention"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
+	"sassafrasplank.example/sassafrasplank/internal/store"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+const (
+	// retryReserve is the number of extra attempts saved up at most, so that
+	// the requests of one lost target can be continued.
+	retryReserve = 100
+	// hedgeReserve is the number of hedges saved up at most.
+	hedgeReserve = 10
+	// finishedBacklog bounds the finished prompts that wait for a decision on
+	// what to keep.
+	finishedBacklog = 256
+)
+
+// TargetClient carries out calls to targets.
+type TargetClient interface {
+	Run(ctx context.Context, url string, run *target.RunRequest) (*target.Stream, error)
+	Cancel(ctx context.Context, url, requestID string, attempt int) error
+	Load(ctx context.Context, url string) (target.LoadReport, error)
+	CacheEvents(ctx context.Context, url string, after int64) (target.CacheEvents, error)
+	OrderVersion(ctx context.Context, url string, order target.VersionOrder) error
+	Export(ctx context.Context, url string, order target.BlockOrder) (target.BlockResult, error)
+	Import(ctx context.Context, url string, order target.BlockOrder) (target.BlockResult, error)
+	Call(ctx context.Context, method, url string, header http.Header, body []byte, repeatable bool) (target.ServiceAnswer, error)
+}
+
+// StoreClient carries out calls to store hosts.
+type StoreClient interface {
+	Commits(ctx context.Context, url string) ([]store.Commit, error)
+	PutCommit(ctx context.Context, url string, commit store.Commit) error
+	DeleteCommit(ctx context.Context, url, name string) error
+	DeleteBlock(ctx context.Context, url, name string, generation int64) error
+}
+
+// RecordProvider gives the records in force.
+type RecordProvider interface {
+	Current() *record.Set
+	// Defensible reports whether this host may admit requests on them.
+	Defensible() bool
+}
+
+// LedgerWriter counts finished placements.
+type LedgerWriter interface {
+	// Add counts one placement.
+	Add(row ledger.Row)
+	// Full reports whether no further placement can be counted.
+	Full() bool
+}
+
+// PeerProvider gives what the other entry hosts report.
+type PeerProvider interface {
+	// Hosts returns the number of live entry hosts, this one included.
+	Hosts() int
+	// Loads returns what peers have placed on targets.
+	Loads() map[string]peer.TargetLoad
+	// InFlight returns the requests that peers run or hold, and whether the
+	// reports are fresh.
+	InFlight() (requests int, fresh bool)
+	// AccountDemand returns the demand of all peers for an account and whether
+	// the reports are fresh.
+	AccountDemand(account string) (tokensPerSecond float64, inFlight int, fresh bool)
+	// IsHome reports whether this host is the one to look after a name.
+	IsHome(name string) bool
+}
+
+// Dispatcher runs requests. The exported fields are set before Run.
+type Dispatcher struct {
+	Host        string
+	Incarnation int64
+	Config      config.Config
+	Clock       clock.Clock
+	Targets     TargetClient
+	Stores      StoreClient
+	Records     RecordProvider
+	Peers       PeerProvider
+	Ledger      LedgerWriter
+	Log         *log.Logger
+	Metrics     metrics.Registry
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	board     *placement.Board
+	queue     *admission.Queue
+	ready     map[*admission.Job]chan struct{}
+	retries   retry.Budget
+	hedges    retry.Budget
+	backoff   retry.Backoff
+	suspects  retry.Suspects
+	lengths   *lengths.Estimator
+	retention *retention.Planner
+	pinned    map[string]string
+	revision  int64
+
+	directory  *store.Directory
+	finished   chan finishedPrompt
+	generation atomic.Int64
+	sequence   atomic.Int64
+	running    sync.WaitGroup
+	stopping   bool
+}
+
+// Init prepares the decision state. It must be called once before any other
+// method.
+func (d *Dispatcher) Init() {
+	cfg := d.Config
+	d.rng = rand.New(rand.NewPCG(cfg.Placement.Seed, uint64(d.Incarnation)))
+	d.board = placement.NewBoard(placement.Params{
+		PreferredCount:  cfg.Placement.PreferredCount,
+		RandomCount:     cfg.Placement.RandomCount,
+		PieceTokens:     cfg.Placement.PieceTokens,
+		IndexEntries:    cfg.Placement.IndexEntries,
+		BytesPerToken:   float64(cfg.Retention.BytesPerToken),
+		LongSlotPercent: cfg.Placement.LongSlotPercent,
+		WarmUp:          cfg.Placement.WarmUp.Duration,
+		SlowRatio:       cfg.Slowness.SlowRatio,
+		ProbeEvery:      cfg.Slowness.ProbeEvery.Duration,
+		WorkWeight:      placement.DefaultWorkWeight,
+		LinkWeight:      placement.DefaultLinkWeight,
+		Seed:            d.rng.Uint64(),
+	})
+	d.queue = admission.NewQueue(admission.Params{
+		QueuePerAccount: cfg.Admission.QueuePerAccount,
+		LongPercent:     cfg.Placement.LongSlotPercent,
+	})
+	d.ready = map[*admission.Job]chan struct{}{}
+	d.retries = retry.Budget{Percent: cfg.Retries.BudgetPercent, Reserve: retryReserve}
+	d.hedges = retry.Budget{Percent: cfg.Slowness.HedgePercent, Reserve: hedgeReserve}
+	d.backoff = retry.Backoff{Base: cfg.Retries.BaseDelay.Duration, Max: cfg.Retries.MaxDelay.Duration}
+	d.suspects = retry.Suspects{Attempts: cfg.Retries.SuspectAttempts, Keep: cfg.Retries.SuspectFor.Duration}
+	d.lengths = lengths.NewEstimator()
+	d.retention = retention.NewPlanner(retention.Params{
+		PieceTokens:       cfg.Placement.PieceTokens,
+		BytesPerToken:     float64(cfg.Retention.BytesPerToken),
+		LinkSharePercent:  cfg.Retention.LinkSharePercent,
+		MinimumReuseRatio: cfg.Retention.MinimumReuseRatio,
+	})
+	d.pinned = map[string]string{}
+	d.directory = &store.Directory{FreshFor: freshFor, ReadLimit: readLimit, Grace: cfg.Retention.FreeGrace.Duration}
+	d.finished = make(chan finishedPrompt, finishedBacklog)
+}
+
+// Run carries on the background duties until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	var duties sync.WaitGroup
+	every := func(interval time.Duration, duty func(context.Context)) {
+		duties.Go(func() {
+			duty(ctx)
+			clock.Every(ctx, d.Clock, interval, duty)
+		})
+	}
+	every(d.Config.Placement.LoadPoll.Duration, d.watchLoads)
+	every(d.Config.Placement.CacheEventPoll.Duration, d.newCacheWatcher())
+	every(storeListEvery, d.watchStores)
+	every(storeFreeEvery, d.freeBlocks)
+	every(versionEvery, d.loadVersions)
+	every(tickEvery, d.tick)
+	duties.Go(func() { d.keepFinished(ctx) })
+	duties.Wait()
+	return nil
+}
+
+// Stop refuses new requests and waits until all running ones have ended.
+func (d *Dispatcher) Stop(ctx context.Context) error {
+	d.mu.Lock()
+	d.stopping = true
+	d.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		d.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// begin counts a request as running unless the host stops.
+func (d *Dispatcher) begin() *failure.Error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopping {
+		return failure.Busy(failure.Stopping, time.Second, "this host is stopping")
+	}
+	d.running.Add(1)
+	return nil
+}
+
+// nextID returns an id for a request that is unique over all hosts.
+func (d *Dispatcher) nextID() string {
+	return d.Host + "-" + strconv.FormatInt(d.Incarnation, 36) + "-" + strconv.FormatInt(d.sequence.Add(1), 36)
+}
+
+func (d *Dispatcher) count(name string) {
+	metrics.GetOrRegisterCounter(name, d.Metrics).Inc(1)
+}
--- /dev/null
+++ b/internal/dispatch/generate.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/admission"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+// Engine priorities, the highest first.
+const (
+	priorityInShare = 2
+	priorityOver    = 1
+	priorityLong    = 0
+)
+
+// answerWork is the work of one answer token in prompt tokens.
+const answerWork = 8
+
+// Generation is a request for a language model's answer.
+type Generation struct {
+	Account   string
+	Model     string
+	Prompt    string
+	MaxTokens int
+}
+
+// Usage describes a whole answer.
+type Usage struct {
+	RequestID    string
+	Version      string
+	PromptTokens int
+	AnswerTokens int
+	ReusedTokens int
+	FinishReason string
+}
+
+// Sink receives an answer while it is generated.
+type Sink interface {
+	// Begin is called once before the first token.
+	Begin(requestID, version string) error
+	// Token receives the next token.
+	Token(text string) error
+	// Flush is called when no further token is at hand.
+	Flush() error
+}
+
+// Generate runs a request for a language model. Errors are *failure.Error.
+func (d *Dispatcher) Generate(ctx context.Context, g *Generation, sink Sink) (Usage, error) {
+	if err := d.begin(); err != nil {
+		return Usage{}, err
+	}
+	defer d.running.Done()
+	if err := d.admissible(); err != nil {
+		return Usage{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.Config.Callers.RequestDeadline.Duration)
+	defer cancel()
+	r, err := d.newRun(g, sink)
+	if err != nil {
+		return Usage{}, err
+	}
+	if err := d.acquire(ctx, r.job); err != nil {
+		return Usage{}, err
+	}
+	defer func() { d.release(r.job, r.actualWork()) }()
+	if err := r.generate(ctx); err != nil {
+		return r.usage(), err
+	}
+	d.finish(r)
+	return r.usage(), nil
+}
+
+// admissible refuses new work while the host can't defend its records or
+// can't count further placements.
+func (d *Dispatcher) admissible() error {
+	if !d.Records.Defensible() {
+		return failure.Busy(failure.CutOff, time.Second, "this host is cut off from the records in force")
+	}
+	if d.Ledger.Full() {
+		return failure.Busy(failure.LedgerFull, time.Second, "this host can't count further placements now")
+	}
+	return nil
+}
+
+// newRun checks a request and works out all that stays the same over its
+// attempts.
+func (d *Dispatcher) newRun(g *Generation, sink Sink) (*run, error) {
+	set := d.Records.Current()
+	version, err := d.pinVersion(set, g.Model, g.Account)
+	if err != nil {
+		return nil, err
+	}
+	promptTokens := prefix.Tokens(g.Prompt)
+	limit := min(d.Config.Callers.PromptTokens, set.Models[g.Model].ContextTokens)
+	if promptTokens > limit {
+		return nil, failure.NotRun(http.StatusRequestEntityTooLarge, failure.PromptTooLong,
+			"the prompt has about %d tokens, the limit is %d", promptTokens, limit)
+	}
+	r := &run{
+		d:           d,
+		generation:  g,
+		sink:        sink,
+		id:          d.nextID(),
+		startedAt:   d.Clock.Now(),
+		fingerprint: retry.Fingerprint(g.Account, g.Model, g.Prompt),
+		events:      make(chan attemptEvent, eventRing),
+		active:      map[int]*attempt{},
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if set.Refused(r.fingerprint, r.startedAt) || d.suspects.Proven(r.startedAt, r.fingerprint) {
+		return nil, failure.NotRun(http.StatusUnprocessableEntity, failure.CrashesTargets,
+			"targets died while they ran this request; fingerprint %s", r.fingerprint)
+	}
+	answerTokens := d.lengths.Estimate(g.Account, g.MaxTokens)
+	seed := prefix.Seed(g.Account, g.Model, version)
+	r.request = placement.Request{
+		ID:           r.id,
+		Account:      g.Account,
+		Model:        g.Model,
+		Version:      version,
+		PromptTokens: promptTokens,
+		AnswerTokens: answerTokens,
+		Long:         answerTokens > d.Config.Placement.LongTokens,
+		Suspect:      d.suspects.Count(r.startedAt, r.fingerprint) > 0,
+		MayProbe:     true,
+		Chain:        prefix.Chain(nil, seed, g.Prompt, d.Config.Placement.PieceTokens),
+	}
+	r.job = &admission.Job{
+		Account:  g.Account,
+		Work:     float64(promptTokens + answerWork*answerTokens),
+		Long:     r.request.Long,
+		Deadline: r.startedAt.Add(d.Config.Admission.QueueWait.Duration),
+	}
+	if len(r.request.Chain) > 0 {
+		d.retention.Seen(g.Account, d.board.Knows(r.request.Chain[0]))
+	}
+	d.retries.Earn()
+	d.hedges.Earn()
+	return r, nil
+}
+
+// pinVersion chooses the weight version of a new request. While too few
+// engines hold the version that the rule names, the former one stays.
+func (d *Dispatcher) pinVersion(set *record.Set, model, account string) (string, error) {
+	if set.Models[model] == nil {
+		return "", failure.NotRun(http.StatusNotFound, failure.UnknownModel, "model %q does not exist", model)
+	}
+	rule, ok := set.RuleFor(model, account)
+	if !ok {
+		return "", failure.NotRun(http.StatusNotFound, failure.UnknownModel, "model %q has no routing rule", model)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := model + "/" + rule.ClientAccount
+	former := d.pinned[key]
+	if former == rule.Version {
+		return former, nil
+	}
+	needed := max(rule.ReadyPercent/100, minimumReadyShare)
+	if d.board.VersionShare(model, rule.Version) >= needed {
+		d.pinned[key] = rule.Version
+		return rule.Version, nil
+	}
+	if former != "" && set.Versions[former] != nil {
+		return former, nil
+	}
+	return d.widestVersion(set, model, rule.Version), nil
+}
+
+// minimumReadyShare is the share of engines that must hold a version before
+// new requests are pinned to it when the rule names none.
+const minimumReadyShare = 0.01
+
+// widestVersion returns the version of a model that most engines hold, or the
+// wanted one when none holds any.
+func (d *Dispatcher) widestVersion(set *record.Set, model, wanted string) string {
+	best, bestShare := wanted, 0.0
+	for name, version := range set.Versions {
+		if version.Model != model {
+			continue
+		}
+		share := d.board.VersionShare(model, name)
+		if share > bestShare || (share == bestShare && share > 0 && name < best) {
+			best, bestShare = name, share
+		}
+	}
+	return best
+}
+
+// finish counts a whole answer and learns from it.
+func (d *Dispatcher) finish(r *run) {
+	d.Ledger.Add(ledger.Row{
+		RequestID:     r.id,
+		ClientAccount: r.request.Account,
+		Model:         r.request.Model,
+		Version:       r.request.Version,
+		Target:        r.lastTarget,
+		PromptTokens:  r.request.PromptTokens,
+		AnswerTokens:  r.tokens,
+		ReusedTokens:  r.reused,
+		At:            d.Clock.Now(),
+	})
+	d.mu.Lock()
+	d.lengths.Observe(r.request.Account, r.generation.MaxTokens, r.tokens)
+	d.suspects.Cleared(r.fingerprint)
+	d.mu.Unlock()
+	d.count("requests.answered")
+	select {
+	case d.finished <- finishedPrompt{account: r.request.Account, version: r.request.Version, target: r.lastTarget, chain: r.request.Chain}:
+	default:
+		d.count("retention.skipped")
+	}
+}
--- /dev/null
+++ b/internal/dispatch/keep.go
@@ -0,0 +1,266 @@
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+	"sassafrasplank.example/sassafrasplank/internal/retention"
+	"sassafrasplank.example/sassafrasplank/internal/store"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+const (
+	// storeListEvery is the time between two listings of a store host.
+	storeListEvery = 2 * time.Second
+	storeFreeEvery = 5 * time.Second
+	// freshFor is how long a listing allows new reads.
+	freshFor = 10 * time.Second
+	// readLimit is the longest time a read of blocks may take.
+	readLimit = 20 * time.Second
+	// fullShare is the part of a store host's room above which blocks are freed.
+	fullShare = 0.9
+)
+
+type chainKeys = []prefix.Key
+
+// finishedPrompt is a prompt that has run and may be kept.
+type finishedPrompt struct {
+	account string
+	version string
+	target  string
+	chain   chainKeys
+}
+
+// keepFinished decides for each finished prompt what to keep, and carries the
+// decision out.
+func (d *Dispatcher) keepFinished(ctx context.Context) {
+	for {
+		select {
+		case f := <-d.finished:
+			d.keep(ctx, &f)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) keep(ctx context.Context, f *finishedPrompt) {
+	set := d.Records.Current()
+	t := set.Targets[f.target]
+	if t == nil || len(f.chain) == 0 {
+		return
+	}
+	now := d.Clock.Now()
+	d.mu.Lock()
+	plan := d.retention.Plan(now, retention.Finished{
+		Account:      f.account,
+		Chain:        f.chain,
+		StoredPieces: d.storedPieces(set, f.chain),
+		PrefillRate:  t.PrefillTokensPerSecond,
+	}, d.storeViews(now, set))
+	if plan.Reason == retention.ReasonKeep {
+		d.board.BookLink(now, plan.Store, float64((plan.To-plan.From)*d.Config.Placement.PieceTokens)*float64(d.Config.Retention.BytesPerToken))
+	}
+	d.mu.Unlock()
+	d.logRetention(f, &plan)
+	if plan.Reason != retention.ReasonKeep {
+		return
+	}
+	d.export(ctx, set, t, f, &plan)
+}
+
+// storedPieces returns how many pieces of a chain are kept on some store host.
+func (d *Dispatcher) storedPieces(set *record.Set, chain chainKeys) int {
+	for i := len(chain); i > 0; i-- {
+		for name := range set.Stores {
+			if d.directory.Holds(name, chain[i-1].String()) {
+				return i
+			}
+		}
+	}
+	return 0
+}
+
+func (d *Dispatcher) storeViews(now time.Time, set *record.Set) []retention.StoreView {
+	var views []retention.StoreView
+	for _, name := range slices.Sorted(maps.Keys(set.Stores)) {
+		s := set.Stores[name]
+		if d.board.LinkDown(name) {
+			continue
+		}
+		views = append(views, retention.StoreView{
+			Name:           name,
+			BytesPerSecond: s.LinkBytesPerSecond,
+			Backlog:        d.board.LinkBacklog(now, name),
+			UsedBytes:      d.directory.Bytes(name),
+			MemoryBytes:    s.MemoryBytes,
+			DiskBytes:      s.DiskBytes,
+		})
+	}
+	return views
+}
+
+// export orders a target to write blocks and commits those that were written
+// whole. The commit record is written last.
+func (d *Dispatcher) export(ctx context.Context, set *record.Set, t *record.Target, f *finishedPrompt, plan *retention.Plan) {
+	host := set.Stores[plan.Store]
+	order := target.BlockOrder{Fence: set.Revision}
+	for _, key := range f.chain[plan.From:plan.To] {
+		generation := d.generation.Add(1)
+		order.Blocks = append(order.Blocks, target.Block{
+			Key:        key.String(),
+			Name:       d.blockName(key, generation),
+			Generation: generation,
+			StoreURL:   host.URL,
+			Tier:       string(plan.Tier),
+		})
+	}
+	result, err := d.Targets.Export(ctx, t.URL, order)
+	if err != nil {
+		d.count("retention.exportFailed")
+		return
+	}
+	for i := range result.Blocks {
+		d.commitBlock(ctx, f, plan, host.URL, &result.Blocks[i])
+	}
+}
+
+// blockName returns a name that is never used again: the key, this host's
+// incarnation and the generation.
+func (d *Dispatcher) blockName(key prefix.Key, generation int64) string {
+	return key.String() + "-" + d.Host + "-" + strconv.FormatInt(d.Incarnation, 36) + "-" + strconv.FormatInt(generation, 36)
+}
+
+func (d *Dispatcher) commitBlock(ctx context.Context, f *finishedPrompt, plan *retention.Plan, url string, block *target.Block) {
+	commit := store.Commit{
+		Key:           block.Key,
+		Name:          block.Name,
+		Generation:    block.Generation,
+		Length:        block.Length,
+		Checksum:      block.Checksum,
+		ClientAccount: f.account,
+		Version:       f.version,
+		Tier:          plan.Tier,
+	}
+	if err := d.Stores.PutCommit(ctx, url, commit); err != nil {
+		d.count("retention.commitFailed")
+		return
+	}
+	now := d.Clock.Now()
+	d.directory.Add(now, plan.Store, commit)
+	d.noteStored(plan.Store, block.Key, false)
+	d.count("retention.kept")
+}
+
+func (d *Dispatcher) noteStored(storeName, key string, removed bool) {
+	parsed, err := prefix.ParseKey(key)
+	if err != nil {
+		d.count("retention.malformedKey")
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.board.Stored(storeName, parsed, removed)
+}
+
+// importPrefix orders a target to read the stored part of a prompt. Whatever
+// doesn't match is left to be recomputed.
+func (d *Dispatcher) importPrefix(ctx context.Context, at *attempt, run *target.RunRequest, chain chainKeys) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	set := d.Records.Current()
+	storeName := at.decision.Store
+	host := set.Stores[storeName]
+	if host == nil {
+		return
+	}
+	first := at.decision.Chosen.ReusedTokens / d.Config.Placement.PieceTokens
+	order := target.BlockOrder{Fence: set.Revision}
+	now := d.Clock.Now()
+	for _, key := range chain[first:at.decision.ImportPieces] {
+		commit, ok := d.directory.Pin(now, storeName, key.String(), run.ClientAccount, run.Version)
+		if !ok {
+			d.noteStored(storeName, key.String(), true)
+			break
+		}
+		defer d.directory.Unpin(storeName, commit.Name)
+		order.Blocks = append(order.Blocks, target.Block{
+			Key:        commit.Key,
+			Name:       commit.Name,
+			Generation: commit.Generation,
+			Length:     commit.Length,
+			Checksum:   commit.Checksum,
+			StoreURL:   host.URL,
+			Tier:       string(commit.Tier),
+		})
+	}
+	if len(order.Blocks) == 0 {
+		return
+	}
+	result, err := d.Targets.Import(ctx, at.url, order)
+	d.imported(at, storeName, order.Blocks, result.Blocks, d.Clock.Now().Sub(now), err)
+}
+
+// imported compares what was ordered with what the target could read.
+func (d *Dispatcher) imported(at *attempt, storeName string, ordered, read []target.Block, took time.Duration, err error) {
+	expected := time.Duration(at.decision.Chosen.Import * float64(time.Second))
+	d.mu.Lock()
+	d.board.LinkObserved(storeName, expected, took)
+	d.mu.Unlock()
+	if err != nil {
+		d.count("retention.importFailed")
+		return
+	}
+	d.count("retention.imports")
+	for _, block := range ordered {
+		if !slices.ContainsFunc(read, func(b target.Block) bool { return b.Name == block.Name }) {
+			d.count("retention.mismatch")
+			d.noteStored(storeName, block.Key, true)
+		}
+	}
+}
+
+// watchStores lists the committed blocks of every store host.
+func (d *Dispatcher) watchStores(ctx context.Context) {
+	set := d.Records.Current()
+	for name, host := range set.Stores {
+		at := d.Clock.Now()
+		commits, err := d.Stores.Commits(ctx, host.URL)
+		d.mu.Lock()
+		d.board.SetLinkDown(name, err != nil)
+		d.mu.Unlock()
+		if err != nil {
+			continue
+		}
+		for _, change := range d.directory.Listed(at, name, commits) {
+			d.noteStored(name, change.Key, change.Removed)
+		}
+	}
+}
+
+// freeBlocks makes room on the store hosts that this host looks after.
+func (d *Dispatcher) freeBlocks(ctx context.Context) {
+	set := d.Records.Current()
+	for name, host := range set.Stores {
+		if !d.Peers.IsHome("store/" + name) {
+			continue
+		}
+		limit := int64(fullShare * float64(host.MemoryBytes+host.DiskBytes))
+		for _, commit := range d.directory.Withdraw(name, limit) {
+			d.noteStored(name, commit.Key, true)
+			if d.Stores.DeleteCommit(ctx, host.URL, commit.Name) == nil {
+				d.directory.Withdrawn(d.Clock.Now(), name, commit.Name)
+			}
+		}
+		for _, commit := range d.directory.Deletable(d.Clock.Now(), name) {
+			if d.Stores.DeleteBlock(ctx, host.URL, commit.Name, commit.Generation) == nil {
+				d.count("retention.freed")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,347 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/admission"
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+const (
+	// eventRing bounds the events between the attempts and the run.
+	eventRing = 64
+	// maxAttempts bounds the attempts of one request over all targets.
+	maxAttempts = 6
+	// firstTokenTick is how often a run without a first token is looked at.
+	firstTokenTick = 25 * time.Millisecond
+	// streamTick is how often a running stream is looked at.
+	streamTick = 500 * time.Millisecond
+	// noTargetPause is the time between two tries to find a target.
+	noTargetPause = 50 * time.Millisecond
+	// gapTokens is the number of tokens over which the gap is averaged.
+	gapTokens = 8
+)
+
+// errCrossed says that a target sent an event of another request.
+var errCrossed = errors.New("event belongs to another attempt")
+
+// run is one request on its way through its attempts.
+type run struct {
+	d           *Dispatcher
+	generation  *Generation
+	sink        Sink
+	id          string
+	startedAt   time.Time
+	fingerprint string
+	request     placement.Request
+	job         *admission.Job
+
+	events   chan attemptEvent
+	active   map[int]*attempt
+	winner   *attempt
+	attempts int
+	// sent is set when an attempt may have run.
+	sent       bool
+	begun      bool
+	text       strings.Builder
+	tokens     int
+	reused     int
+	lastTarget string
+	lastToken  time.Time
+	done       bool
+	finish     string
+}
+
+func (r *run) usage() Usage {
+	return Usage{
+		RequestID:    r.id,
+		Version:      r.request.Version,
+		PromptTokens: r.request.PromptTokens,
+		AnswerTokens: r.tokens,
+		ReusedTokens: r.reused,
+		FinishReason: r.finish,
+	}
+}
+
+func (r *run) actualWork() float64 {
+	return float64(r.request.PromptTokens + answerWork*r.tokens)
+}
+
+// generate drives the request to its end.
+func (r *run) generate(ctx context.Context) error {
+	defer r.closeAttempts()
+	if err := r.launch(ctx); err != nil {
+		return err
+	}
+	tick := r.d.Clock.After(firstTokenTick)
+	for !r.done {
+		select {
+		case event := <-r.events:
+			if err := r.handle(ctx, event); err != nil {
+				return err
+			}
+		case <-tick:
+			if err := r.look(ctx); err != nil {
+				return err
+			}
+			tick = r.d.Clock.After(r.tickInterval())
+		case <-ctx.Done():
+			return r.fail(failure.DeadlineExceeded, "the request ended before its answer: %v", ctx.Err())
+		}
+	}
+	return nil
+}
+
+func (r *run) tickInterval() time.Duration {
+	if r.winner == nil {
+		return firstTokenTick
+	}
+	return streamTick
+}
+
+// handle takes in one event of an attempt.
+func (r *run) handle(ctx context.Context, event attemptEvent) error {
+	at := r.active[event.attempt]
+	if at == nil || (r.winner != nil && r.winner != at) {
+		r.d.count("attempts.lateEvents")
+		return nil
+	}
+	if event.err != nil {
+		return r.attemptFailed(ctx, at, event.err)
+	}
+	if event.event.RequestID != r.id || event.event.Attempt != at.number {
+		r.d.count("attempts.crossedEvents")
+		return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errCrossed})
+	}
+	if event.event.FinishReason != "" {
+		return r.complete(ctx, at, &event.event)
+	}
+	return r.token(ctx, at, &event.event)
+}
+
+// token delivers the next token. A repeated one is dropped, a missing one ends
+// the attempt.
+func (r *run) token(ctx context.Context, at *attempt, event *target.RunEvent) error {
+	if event.Index < r.tokens {
+		return nil
+	}
+	if event.Index > r.tokens {
+		return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errors.New("tokens are missing")})
+	}
+	now := r.d.Clock.Now()
+	if r.winner == nil {
+		r.win(now, at)
+	}
+	if !r.begun {
+		r.begun = true
+		if err := r.sink.Begin(r.id, r.request.Version); err != nil {
+			return r.fail(failure.DeadlineExceeded, "the caller went away: %v", err)
+		}
+	}
+	r.text.WriteString(event.Text)
+	r.tokens++
+	r.measureGap(now, at)
+	if err := r.sink.Token(event.Text); err != nil {
+		return r.fail(failure.DeadlineExceeded, "the caller went away: %v", err)
+	}
+	if len(r.events) > 0 {
+		return nil
+	}
+	if err := r.sink.Flush(); err != nil {
+		return r.fail(failure.DeadlineExceeded, "the caller went away: %v", err)
+	}
+	return nil
+}
+
+// win makes an attempt the one that answers and cancels the others.
+func (r *run) win(now time.Time, at *attempt) {
+	r.winner = at
+	r.lastToken = now
+	at.gapFrom = now
+	r.d.mu.Lock()
+	r.d.board.FirstToken(now, &at.ticket)
+	r.d.mu.Unlock()
+	for _, other := range r.active {
+		if other != at {
+			r.cancel(other)
+		}
+	}
+}
+
+// measureGap compares the gap between tokens with the target's usual one, and
+// corrects the length estimate of a request that runs on.
+func (r *run) measureGap(now time.Time, at *attempt) {
+	r.lastToken = now
+	at.gapCount++
+	if at.gapCount < gapTokens {
+		return
+	}
+	gap := now.Sub(at.gapFrom) / gapTokens
+	at.gapCount = 0
+	at.gapFrom = now
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	r.d.board.Gap(now, &at.ticket, gap)
+	if r.tokens > r.d.Config.Placement.LongTokens && !r.request.Long {
+		r.request.Long = true
+		r.d.board.MarkLong(&at.ticket)
+		r.d.queue.MarkLong(r.job)
+	}
+}
+
+// complete takes in the last event of an answer.
+func (r *run) complete(ctx context.Context, at *attempt, event *target.RunEvent) error {
+	if event.Index != r.tokens {
+		return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errors.New("tokens are missing")})
+	}
+	if r.winner == nil {
+		r.win(r.d.Clock.Now(), at)
+	}
+	r.done = true
+	r.finish = event.FinishReason
+	r.reused = event.ReusedTokens
+	r.lastTarget = at.ticket.Target
+	if !r.begun {
+		r.begun = true
+		return r.sink.Begin(r.id, r.request.Version)
+	}
+	return nil
+}
+
+// look checks a run for slowness and silence.
+func (r *run) look(ctx context.Context) error {
+	now := r.d.Clock.Now()
+	if r.winner != nil {
+		silent := now.Sub(r.lastToken)
+		if silent < r.d.Config.Callers.StreamIdle.Duration {
+			return nil
+		}
+		return r.attemptFailed(ctx, r.winner, &target.BrokenError{Sent: true, Err: errors.New("no token for " + silent.String())})
+	}
+	if r.wantsHedge(now) {
+		r.hedge(ctx)
+	}
+	return nil
+}
+
+// wantsHedge reports whether the first token is late enough for a second
+// attempt, and notes the delay against the target.
+func (r *run) wantsHedge(now time.Time) bool {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	late := false
+	for _, at := range r.active {
+		r.d.board.Pending(now, &at.ticket)
+		expected := max(at.ticket.ExpectedFirst, minimumHedgeWait)
+		limit := time.Duration(float64(expected) * r.d.Config.Slowness.HedgeRatio)
+		late = now.Sub(at.ticket.PlacedAt) > limit
+	}
+	return late && len(r.active) == 1 && r.attempts < maxAttempts && r.d.hedges.Spend()
+}
+
+// minimumHedgeWait bounds from below the expected time that is compared.
+const minimumHedgeWait = 30 * time.Millisecond
+
+// hedge starts a second attempt on another target, if there is one.
+func (r *run) hedge(ctx context.Context) {
+	r.d.count("attempts.hedges")
+	for _, at := range r.active {
+		r.request.Exclude = append(r.request.Exclude, at.ticket.Target)
+	}
+	_, _ = r.start(ctx, "hedge")
+}
+
+// attemptFailed decides what follows when an attempt ends without an answer.
+func (r *run) attemptFailed(ctx context.Context, at *attempt, err error) error {
+	r.end(at)
+	at.cancel()
+	if r.winner == at {
+		r.winner = nil
+	}
+	retryable, free := r.classify(at, err)
+	if len(r.active) > 0 {
+		return nil
+	}
+	if !retryable {
+		return r.fail(failure.TargetFailed, "%v", err)
+	}
+	if r.proven() {
+		return r.fail(failure.CrashesTargets, "targets died while they ran this request; fingerprint %s", r.fingerprint)
+	}
+	if r.attempts >= maxAttempts || (!free && !r.spendRetry()) {
+		return r.fail(failure.TargetFailed, "no further attempt is allowed after: %v", err)
+	}
+	if !free {
+		r.d.count("attempts.retries")
+		if clock.Sleep(ctx, r.d.Clock, r.backoff()) != nil {
+			return r.fail(failure.DeadlineExceeded, "the request ended before its answer: %v", ctx.Err())
+		}
+	}
+	return r.launch(ctx)
+}
+
+// classify notes what a failed attempt tells of its target. A retry is free
+// when the target has done no work for the request.
+func (r *run) classify(at *attempt, err error) (retryable, free bool) {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	r.request.Exclude = append(r.request.Exclude, at.ticket.Target)
+	var refusal *target.RefusalError
+	if errors.As(err, &refusal) {
+		r.sent = r.sent || !refusal.NotRun
+		switch refusal.Code {
+		case target.CodeLeaving:
+			r.d.board.Leaving(r.d.Clock.Now(), at.ticket.Target)
+			return true, true
+		case target.CodeVersionNotLoaded:
+			return true, true
+		default:
+			return refusal.Status >= http.StatusInternalServerError, refusal.NotRun
+		}
+	}
+	r.d.board.Unreachable(at.ticket.Target)
+	if target.NotRun(err) {
+		return true, true
+	}
+	r.sent = true
+	if !errors.Is(err, errCrossed) {
+		r.d.suspects.Crashed(r.d.Clock.Now(), r.fingerprint)
+		r.request.Suspect = true
+	}
+	return true, false
+}
+
+func (r *run) proven() bool {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	return r.d.suspects.Proven(r.d.Clock.Now(), r.fingerprint)
+}
+
+func (r *run) spendRetry() bool {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	return r.d.retries.Spend()
+}
+
+func (r *run) backoff() time.Duration {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	return r.d.backoff.Delay(r.d.rng, r.attempts)
+}
+
+// fail ends the run with an error. It says "not run" only when no attempt may
+// have run.
+func (r *run) fail(code failure.Code, format string, args ...any) error {
+	r.d.count("requests.failed")
+	if !r.sent && len(r.active) == 0 {
+		return failure.Busy(code, time.Second, format, args...)
+	}
+	return failure.MaybeRun(code, format, args...)
+}
--- /dev/null
+++ b/internal/dispatch/service.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+// servicePrefix begins the pool name of a plain service on the board.
+const servicePrefix = "service:"
+
+// serviceVersion stands for the weight version that plain services lack.
+const serviceVersion = "any"
+
+// serviceDeadline bounds one call to a plain service.
+const serviceDeadline = 30 * time.Second
+
+// ServiceCall is a call to a plain service.
+type ServiceCall struct {
+	Account    string
+	Service    string
+	Method     string
+	Path       string
+	Query      string
+	Header     http.Header
+	Body       []byte
+	Repeatable bool
+}
+
+// CallService sends a call to one target of a plain service. A repeatable call
+// is retried within the budget; another one is sent again only when the former
+// attempt is known not to have run. Errors are *failure.Error.
+func (d *Dispatcher) CallService(ctx context.Context, call *ServiceCall) (target.ServiceAnswer, error) {
+	if err := d.begin(); err != nil {
+		return target.ServiceAnswer{}, err
+	}
+	defer d.running.Done()
+	if err := d.admissible(); err != nil {
+		return target.ServiceAnswer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, serviceDeadline)
+	defer cancel()
+	d.mu.Lock()
+	d.retries.Earn()
+	d.mu.Unlock()
+	id := d.nextID()
+	req := &placement.Request{
+		ID:       id,
+		Account:  call.Account,
+		Model:    servicePrefix + call.Service,
+		Version:  serviceVersion,
+		MayProbe: call.Repeatable,
+	}
+	sent := false
+	for attempt := 1; ; attempt++ {
+		answer, name, err := d.callOnce(ctx, req, call, attempt)
+		if err == nil {
+			d.Ledger.Add(ledger.Row{
+				RequestID: id, ClientAccount: call.Account, Model: req.Model, Target: name, At: d.Clock.Now(),
+			})
+			return answer, nil
+		}
+		sent = sent || !target.NotRun(err)
+		if !d.mayRepeat(ctx, call, err, attempt) {
+			return answer, serviceFailure(err, sent)
+		}
+	}
+}
+
+// mayRepeat reports whether a failed call may be sent again, and waits before
+// a retry that costs budget.
+func (d *Dispatcher) mayRepeat(ctx context.Context, call *ServiceCall, err error, attempt int) bool {
+	if attempt >= maxAttempts || ctx.Err() != nil || errors.Is(err, errNoServiceTarget) {
+		return false
+	}
+	if target.NotRun(err) {
+		return true
+	}
+	if !call.Repeatable {
+		return false
+	}
+	d.mu.Lock()
+	allowed := d.retries.Spend()
+	delay := d.backoff.Delay(d.rng, attempt)
+	d.mu.Unlock()
+	if !allowed {
+		return false
+	}
+	d.count("attempts.retries")
+	return clock.Sleep(ctx, d.Clock, delay) == nil
+}
+
+var errNoServiceTarget = errors.New("no target offers the service now")
+
+// callOnce places a call and sends it once.
+func (d *Dispatcher) callOnce(ctx context.Context, req *placement.Request, call *ServiceCall, attempt int) (target.ServiceAnswer, string, error) {
+	var decision placement.Decision
+	now := d.Clock.Now()
+	set := d.Records.Current()
+	d.mu.Lock()
+	d.board.Place(now, req, &decision)
+	spec := set.Targets[decision.Target]
+	if spec == nil {
+		d.mu.Unlock()
+		return target.ServiceAnswer{}, "", &target.BrokenError{Err: errNoServiceTarget}
+	}
+	ticket := d.board.Start(now, req, &decision)
+	d.mu.Unlock()
+	d.logService(req, &decision, call, attempt)
+	url := spec.URL + call.Path
+	if call.Query != "" {
+		url += "?" + call.Query
+	}
+	answer, err := d.Targets.Call(ctx, call.Method, url, call.Header, call.Body, call.Repeatable)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now = d.Clock.Now()
+	if err == nil {
+		d.board.FirstToken(now, &ticket)
+	}
+	d.board.Finish(now, &ticket)
+	if err != nil {
+		d.board.Unreachable(decision.Target)
+		req.Exclude = append(req.Exclude, decision.Target)
+	}
+	return answer, decision.Target, err
+}
+
+func serviceFailure(err error, sent bool) error {
+	if sent {
+		return failure.MaybeRun(failure.MayHaveRun, "%v", err)
+	}
+	return failure.Busy(failure.NoTarget, time.Second, "%v", err)
+}
--- /dev/null
+++ b/internal/dispatch/versions.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sassafrasplank.example/sassafrasplank/internal/target"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+const (
+	// versionEvery is the time between two looks at missing versions.
+	versionEvery = time.Second
+	// loadsAtOnce bounds the engines that load weights at the same time.
+	loadsAtOnce = 2
+	// versionDuty names the duty of loading weights, which one host has.
+	versionDuty = "versionLoads"
+)
+
+type versionLoad struct {
+	target  string
+	url     string
+	version string
+}
+
+// loadVersions orders engines to load the versions that routing rules name.
+// Loads are paced, since the weight store is limited.
+func (d *Dispatcher) loadVersions(ctx context.Context) {
+	if !d.Peers.IsHome(versionDuty) || !d.Records.Defensible() {
+		return
+	}
+	set := d.Records.Current()
+	var group errgroup.Group
+	group.SetLimit(loadsAtOnce)
+	for _, load := range d.missingVersions(set) {
+		group.Go(func() error {
+			d.loadVersion(ctx, set, load)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// loadVersion sends one order. The fencing number is the revision on which it
+// is based; the duty and the revision are checked again right before.
+func (d *Dispatcher) loadVersion(ctx context.Context, set *record.Set, load versionLoad) {
+	if !d.Peers.IsHome(versionDuty) || d.Records.Current().Revision != set.Revision {
+		return
+	}
+	d.Log.Info().Str("part", "versions").Str("target", load.target).Str("version", load.version).
+		Int64("fence", set.Revision).Msg("versions: order load")
+	if err := d.Targets.OrderVersion(ctx, load.url, target.VersionOrder{Version: load.version, Fence: set.Revision}); err != nil {
+		d.count("versions.failed")
+	}
+}
+
+// missingVersions lists the engines that lack a version some rule names.
+func (d *Dispatcher) missingVersions(set *record.Set) []versionLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var loads []versionLoad
+	for _, name := range d.targetNames(set) {
+		t := set.Targets[name]
+		if t.Kind != record.TargetEngine || !d.board.Usable(name) {
+			continue
+		}
+		for _, version := range wantedVersions(set, t) {
+			if !d.board.Holds(name, version) {
+				loads = append(loads, versionLoad{target: name, url: t.URL, version: version})
+			}
+		}
+	}
+	return loads
+}
+
+func wantedVersions(set *record.Set, t *record.Target) []string {
+	var wanted []string
+	for _, rule := range set.Rules {
+		if slices.Contains(t.Models, rule.Model) && !slices.Contains(wanted, rule.Version) {
+			wanted = append(wanted, rule.Version)
+		}
+	}
+	slices.Sort(wanted)
+	return wanted
+}
--- /dev/null
+++ b/internal/dispatch/watch.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+// watchersAtOnce bounds the targets that are asked at the same time.
+const watchersAtOnce = 16
+
+// serviceSlots is the number of calls a plain service is taken to run at once.
+const serviceSlots = 64
+
+func (d *Dispatcher) targetNames(set *record.Set) []string {
+	return slices.Sorted(maps.Keys(set.Targets))
+}
+
+// applyRecords passes the targets and store hosts of the records to the board.
+// The lock must be held.
+func (d *Dispatcher) applyRecords(now time.Time, set *record.Set) {
+	var engines []placement.EngineSpec
+	for _, name := range d.targetNames(set) {
+		engines = append(engines, engineSpec(name, set.Targets[name]))
+	}
+	d.board.SetEngines(now, engines)
+	var links []placement.LinkSpec
+	for _, name := range slices.Sorted(maps.Keys(set.Stores)) {
+		links = append(links, placement.LinkSpec{Store: name, BytesPerSecond: set.Stores[name].LinkBytesPerSecond})
+	}
+	d.board.SetLinks(links)
+}
+
+func engineSpec(name string, t *record.Target) placement.EngineSpec {
+	spec := placement.EngineSpec{
+		Name:          name,
+		FailureDomain: t.FailureDomain,
+		Models:        t.Models,
+		Slots:         t.Slots,
+		PrefillRate:   t.PrefillTokensPerSecond,
+		TokenGap:      time.Duration(t.TokenGapMillis * float64(time.Millisecond)),
+	}
+	if t.Kind == record.TargetService {
+		spec.Models = []string{servicePrefix + t.Service}
+		spec.Slots = serviceSlots
+		spec.PrefillRate = 1
+	}
+	return spec
+}
+
+// watchLoads asks every target for its load.
+func (d *Dispatcher) watchLoads(ctx context.Context) {
+	d.tick(ctx)
+	set := d.Records.Current()
+	var group errgroup.Group
+	group.SetLimit(watchersAtOnce)
+	for _, name := range d.targetNames(set) {
+		group.Go(func() error {
+			d.watchLoad(ctx, name, set.Targets[name])
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (d *Dispatcher) watchLoad(ctx context.Context, name string, t *record.Target) {
+	report := placement.LoadReport{Versions: []string{serviceVersion}}
+	if t.Kind == record.TargetEngine {
+		load, err := d.Targets.Load(ctx, t.URL)
+		if err != nil {
+			d.loadFailed(name, err)
+			return
+		}
+		report = placement.LoadReport{
+			Running:     load.Running,
+			Waiting:     load.Waiting,
+			Versions:    load.Versions,
+			Leaving:     load.Leaving,
+			Incarnation: load.Incarnation,
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.board.Report(d.Clock.Now(), name, report)
+}
+
+// loadFailed takes a target out of use when it can't be reached. A late
+// answer alone is no reason.
+func (d *Dispatcher) loadFailed(name string, err error) {
+	var broken *target.BrokenError
+	if !errors.As(err, &broken) || broken.Sent {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.board.Unreachable(name)
+}
+
+// TargetLeaving notes that the host list shows a target as leaving.
+func (d *Dispatcher) TargetLeaving(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.board.Leaving(d.Clock.Now(), name)
+}
+
+// cacheCursor is how far the cache events of one target were read.
+type cacheCursor struct {
+	incarnation int64
+	sequence    int64
+}
+
+// newCacheWatcher returns the duty that reads cache events of all engines.
+func (d *Dispatcher) newCacheWatcher() func(context.Context) {
+	cursors := map[string]*cacheCursor{}
+	return func(ctx context.Context) {
+		set := d.Records.Current()
+		var group errgroup.Group
+		group.SetLimit(watchersAtOnce)
+		for _, name := range d.targetNames(set) {
+			t := set.Targets[name]
+			if t.Kind != record.TargetEngine {
+				continue
+			}
+			cursor := cursors[name]
+			if cursor == nil {
+				cursor = &cacheCursor{}
+				cursors[name] = cursor
+			}
+			group.Go(func() error {
+				d.readCacheEvents(ctx, name, t.URL, cursor)
+				return nil
+			})
+		}
+		_ = group.Wait()
+	}
+}
+
+// readCacheEvents applies the next events of one engine. Events are hints, so
+// a gap is counted and passed over; a restart begins anew.
+func (d *Dispatcher) readCacheEvents(ctx context.Context, name, url string, cursor *cacheCursor) {
+	events, err := d.Targets.CacheEvents(ctx, url, cursor.sequence)
+	if err != nil {
+		return
+	}
+	if events.Incarnation != cursor.incarnation {
+		restarted := cursor.incarnation != 0
+		*cursor = cacheCursor{incarnation: events.Incarnation}
+		if restarted {
+			return
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, event := range events.Events {
+		if cursor.sequence != 0 && event.Sequence > cursor.sequence+1 {
+			d.count("cacheEvents.gaps")
+		}
+		cursor.sequence = max(cursor.sequence, event.Sequence)
+		key, err := prefix.ParseKey(event.Key)
+		if err != nil {
+			d.count("cacheEvents.malformed")
+			continue
+		}
+		d.board.Cached(name, key, event.Removed)
+	}
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,263 @@
+// Package entry assembles an entry host from its parts and runs it from start
+// to planned stop.
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"sassafrasplank.example/sassafrasplank/internal/booking"
+	"sassafrasplank.example/sassafrasplank/internal/caller"
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/config"
+	"sassafrasplank.example/sassafrasplank/internal/dispatch"
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/operator"
+	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/platform"
+	"sassafrasplank.example/sassafrasplank/internal/recordstore"
+	"sassafrasplank.example/sassafrasplank/internal/store"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+const (
+	targetTimeout     = 2 * time.Second
+	targetConnections = 256
+	leaveWithin       = 2 * time.Second
+)
+
+// Host is one entry host. The exported fields are set before Run.
+type Host struct {
+	Config config.Config
+	Clock  clock.Clock
+	Log    *log.Logger
+	// Serving is called once with the address for callers, may be nil.
+	Serving func(callers, operators net.Addr)
+
+	platform   *platform.Client
+	group      *peer.Group
+	follower   *recordstore.Follower
+	writer     *ledger.Writer
+	desk       *booking.Desk
+	dispatcher *dispatch.Dispatcher
+	metrics    metrics.Registry
+	stopping   atomic.Bool
+}
+
+// Run serves until ctx ends, then stops without cutting a request. A second
+// context, hasten, ends the wait for running requests.
+func (h *Host) Run(ctx, hasten context.Context) error {
+	sockets, err := h.listen()
+	if err != nil {
+		return err
+	}
+	h.build(sockets[2].Addr())
+	listeners := h.listeners(sockets)
+	duties, endDuties := context.WithCancel(context.Background())
+	defer endDuties()
+	var group errgroup.Group
+	for _, duty := range []func(context.Context) error{h.group.Run, h.follower.Run, h.dispatcher.Run, h.writer.Run, h.refreshBudget} {
+		group.Go(func() error { return duty(duties) })
+	}
+	for _, l := range listeners {
+		group.Go(l.serve)
+	}
+	if h.Serving != nil {
+		h.Serving(listeners[0].socket.Addr(), listeners[1].socket.Addr())
+	}
+	h.Log.Info().Str("part", "entry").Str("host", h.Config.Host).Msg("entry: serving callers on " + listeners[0].socket.Addr().String())
+	<-ctx.Done()
+	h.stop(hasten, listeners)
+	endDuties()
+	return group.Wait()
+}
+
+// stop ends the host step by step: unready, no new requests, running requests
+// end, what was counted is written, peers are told.
+func (h *Host) stop(hasten context.Context, listeners []*listener) {
+	h.Log.Info().Str("part", "entry").Msg("entry: planned stop begins")
+	h.stopping.Store(true)
+	ctx, cancel := context.WithTimeout(hasten, h.Config.StopWithin.Duration)
+	defer cancel()
+	_ = clock.Sleep(ctx, h.Clock, h.Config.StopDelay.Duration)
+	if err := h.dispatcher.Stop(ctx); err != nil {
+		h.Log.Warn().Str("part", "entry").Err(err).Msg("entry: requests were still running")
+	}
+	if err := h.desk.Drain(ctx); err != nil {
+		h.Log.Warn().Str("part", "entry").Err(err).Msg("entry: outcomes of bookings were not recorded")
+	}
+	h.flushLedger(ctx)
+	leaving, cancelLeave := context.WithTimeout(context.WithoutCancel(hasten), leaveWithin)
+	defer cancelLeave()
+	h.group.Leave(leaving)
+	for _, l := range listeners {
+		l.close(ctx)
+	}
+	h.Log.Info().Str("part", "entry").Msg("entry: stopped")
+}
+
+// flushLedger writes the counted placements. While the table service is down
+// it goes on trying until ctx ends; copies on a peer are then all that is left.
+func (h *Host) flushLedger(ctx context.Context) {
+	for {
+		err := h.writer.Flush(ctx)
+		if err == nil {
+			return
+		}
+		if clock.Sleep(ctx, h.Clock, h.Config.Ledger.FlushEvery.Duration) != nil {
+			h.Log.Error().Str("part", "ledger").Int("rows", h.writer.Buffered()).Err(err).Msg("ledger: rows are left to the copies on a peer")
+			return
+		}
+	}
+}
+
+// refreshBudget gives this host its part of the calls to the table service.
+func (h *Host) refreshBudget(ctx context.Context) error {
+	clock.Every(ctx, h.Clock, time.Second, func(context.Context) {
+		hosts := float64(h.group.Hosts())
+		h.platform.Reads.SetLimit(rate.Limit(h.Config.Platform.ReadsPerSecond / hosts))
+		h.platform.Writes.SetLimit(rate.Limit(h.Config.Platform.WritesPerSecond / hosts))
+	})
+	return nil
+}
+
+// ready reports whether the balancer may send requests to this host.
+func (h *Host) ready() bool {
+	return !h.stopping.Load() && h.follower.Defensible()
+}
+
+func (h *Host) build(peers net.Addr) {
+	cfg := h.Config
+	incarnation := h.Clock.Now().UnixNano()
+	h.metrics = metrics.NewRegistry()
+	h.platform = &platform.Client{
+		HTTP:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
+		TableURL:    cfg.Platform.TableURL,
+		ObjectURL:   cfg.Platform.ObjectURL,
+		HostListURL: cfg.Platform.HostListURL,
+		Timeout:     cfg.Platform.CallTimeout.Duration,
+		Reads:       rate.NewLimiter(rate.Limit(cfg.Platform.ReadsPerSecond), burstOf(cfg.Platform.ReadsPerSecond)),
+		Writes:      rate.NewLimiter(rate.Limit(cfg.Platform.WritesPerSecond), burstOf(cfg.Platform.WritesPerSecond)),
+		Breaker:     &platform.Breaker{Clock: h.Clock, Failures: cfg.Platform.BreakerFailures, Pause: cfg.Platform.BreakerPause.Duration},
+	}
+	h.buildGroup(incarnation, peers)
+	h.follower = &recordstore.Follower{
+		Table: h.platform, Peers: h.group, Clock: h.Clock, Log: h.Log,
+		Poll: cfg.Peers.ConfigPoll.Duration, CutOffAfter: cfg.Peers.CutOffAfter.Duration,
+	}
+	h.writer = &ledger.Writer{
+		Host: cfg.Host, Incarnation: incarnation, Table: h.platform, Clock: h.Clock, Log: h.Log,
+		FlushEvery: cfg.Ledger.FlushEvery.Duration, BatchRows: cfg.Ledger.BatchRows, BufferRows: cfg.Ledger.BufferRows,
+		Mirror: h.group,
+	}
+	h.desk = &booking.Desk{Host: cfg.Host, Table: h.platform, Clock: h.Clock, Log: h.Log, KeepFor: cfg.Bookings.KeepFor.Duration}
+	h.dispatcher = &dispatch.Dispatcher{
+		Host: cfg.Host, Incarnation: incarnation, Config: cfg, Clock: h.Clock, Log: h.Log, Metrics: h.metrics,
+		Targets: target.NewClient(targetTimeout, targetConnections),
+		Stores:  &store.Client{HTTP: &http.Client{Transport: &http.Transport{}}, Timeout: targetTimeout},
+		Records: h.follower, Peers: h.group, Ledger: h.writer,
+	}
+	h.dispatcher.Init()
+	h.group.Local = h.dispatcher
+	h.group.Records = h.follower
+}
+
+func (h *Host) buildGroup(incarnation int64, listen net.Addr) {
+	peers := h.Config.Peers
+	advertise := peers.Advertise
+	if advertise == "" {
+		advertise = "http://" + listen.String()
+	}
+	h.group = &peer.Group{
+		Self: membership.Member{
+			Name: h.Config.Host, URL: advertise, FailureDomain: h.Config.FailureDomain, Incarnation: incarnation,
+		},
+		Params:   membership.Params{SuspectAfter: peers.SuspectAfter.Duration, ForgetAfter: peers.ForgetAfter.Duration},
+		Interval: peers.Interval.Duration,
+		FanOut:   peers.FanOut,
+		Seeds:    peers.Seeds,
+		HostList: h.platform,
+		Clock:    h.Clock,
+		Log:      h.Log,
+		HTTP:     &http.Client{Transport: &http.Transport{MaxIdleConns: 64, IdleConnTimeout: 10 * time.Second}},
+		Ledger:   h.platform,
+	}
+	h.group.Init()
+}
+
+// burstOf returns the calls that may be made at once: those of one second, at
+// least enough for one transaction.
+func burstOf(perSecond float64) int {
+	const least = 8
+	return max(least, int(perSecond))
+}
+
+func (h *Host) handlers() []http.Handler {
+	callers := &caller.Server{
+		Config: h.Config.Callers, Clock: h.Clock, Records: h.follower, Dispatcher: h.dispatcher,
+		Bookings: h.desk, Stopping: h.stopping.Load,
+	}
+	operators := &operator.Server{
+		Config: h.Config.Operators, Records: h.follower,
+		Writer: &recordstore.Writer{Table: h.platform, Follower: h.follower, Clock: h.Clock},
+		Group:  h.group, Ledger: h.platform, Metrics: h.metrics, Ready: h.ready,
+	}
+	return []http.Handler{callers.Handler(), operators.Handler(), h.group.Handler()}
+}
+
+// listener serves one HTTP interface.
+type listener struct {
+	socket net.Listener
+	server *http.Server
+}
+
+// listen opens the sockets for callers, operators and peers, in this order.
+func (h *Host) listen() ([]net.Listener, error) {
+	var sockets []net.Listener
+	for _, address := range []string{h.Config.Callers.Listen, h.Config.Operators.Listen, h.Config.Peers.Listen} {
+		socket, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+		if err != nil {
+			for _, open := range sockets {
+				_ = open.Close()
+			}
+			return nil, fmt.Errorf("listening on %s: %w", address, err)
+		}
+		sockets = append(sockets, socket)
+	}
+	return sockets, nil
+}
+
+func (h *Host) listeners(sockets []net.Listener) []*listener {
+	var listeners []*listener
+	for i, handler := range h.handlers() {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: h.Config.Callers.HeaderTimeout.Duration, IdleTimeout: time.Minute}
+		listeners = append(listeners, &listener{socket: sockets[i], server: server})
+	}
+	return listeners
+}
+
+func (l *listener) serve() error {
+	if err := l.server.Serve(l.socket); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serving on %s: %w", l.socket.Addr(), err)
+	}
+	return nil
+}
+
+// close ends the listener once its requests have ended, or at once when ctx
+// ends.
+func (l *listener) close(ctx context.Context) {
+	if l.server.Shutdown(ctx) != nil {
+		_ = l.server.Close()
+	}
+}
--- /dev/null
+++ b/internal/ledger/writer.go
@@ -0,0 +1,271 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/platform"
+)
+
+const (
+	tableLedger = "ledger"
+	scanPage    = 200
+)
+
+// Table is the part of the table service that the ledger needs.
+type Table interface {
+	Scan(ctx context.Context, s platform.Scan) ([]platform.Row, error)
+	Commit(ctx context.Context, tx platform.Transaction) error
+}
+
+// Batch is a sealed set of rows. Its name is host, incarnation and number, and
+// its content never changes.
+type Batch struct {
+	Host        string `json:"host"`
+	Incarnation int64  `json:"incarnation"`
+	Number      int64  `json:"number"`
+	Rows        []Row  `json:"rows"`
+
+	mirrored bool
+}
+
+// UnmarshalJSON decodes a batch and checks it.
+func (b *Batch) UnmarshalJSON(data []byte) error {
+	type plain Batch
+	if err := json.Unmarshal(data, (*plain)(b)); err != nil {
+		return err
+	}
+	if b.Host == "" || b.Incarnation < 1 || b.Number < 1 {
+		return fmt.Errorf("ledger batch: want host, incarnation and number, got %q/%d/%d", b.Host, b.Incarnation, b.Number)
+	}
+	return nil
+}
+
+// Key returns the key under which the batch is kept.
+func (b *Batch) Key() string {
+	return fmt.Sprintf("%s/%020d/%012d", b.Host, b.Incarnation, b.Number)
+}
+
+// Mirror keeps a copy of sealed batches on another host.
+type Mirror interface {
+	// Keep hands a batch that isn't written yet to another host.
+	Keep(ctx context.Context, batch *Batch) error
+	// Release tells the other host that the batch is written.
+	Release(ctx context.Context, batch *Batch)
+}
+
+// Writer counts placements and writes them in batches. The exported fields are
+// set before Run.
+type Writer struct {
+	Host        string
+	Incarnation int64
+	Table       Table
+	Clock       clock.Clock
+	Log         *log.Logger
+	FlushEvery  time.Duration
+	BatchRows   int
+	BufferRows  int
+	// Mirror may be nil.
+	Mirror Mirror
+
+	mu       sync.Mutex
+	open     []Row
+	sealed   []*Batch
+	buffered int
+	number   int64
+	flushing sync.Mutex
+}
+
+// Add counts one placement.
+func (w *Writer) Add(row Row) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open = append(w.open, row)
+	w.buffered++
+	if len(w.open) >= w.BatchRows {
+		w.seal()
+	}
+}
+
+// Full reports whether the rows that wait have reached their bound.
+func (w *Writer) Full() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.buffered >= w.BufferRows
+}
+
+// Buffered returns the number of rows that aren't written yet.
+func (w *Writer) Buffered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.buffered
+}
+
+// seal closes the open rows into a batch. The lock must be held.
+func (w *Writer) seal() {
+	if len(w.open) == 0 {
+		return
+	}
+	w.number++
+	w.sealed = append(w.sealed, &Batch{Host: w.Host, Incarnation: w.Incarnation, Number: w.number, Rows: w.open})
+	w.open = nil
+}
+
+// Run writes batches until ctx ends.
+func (w *Writer) Run(ctx context.Context) error {
+	clock.Every(ctx, w.Clock, w.FlushEvery, func(ctx context.Context) {
+		if err := w.Flush(ctx); err != nil && ctx.Err() == nil {
+			w.Log.Warn().Str("part", "ledger").Int("rows", w.Buffered()).Err(err).Msg("ledger: rows wait")
+		}
+	})
+	return nil
+}
+
+// Flush writes all rows counted so far. Rows stay buffered on an error.
+func (w *Writer) Flush(ctx context.Context) error {
+	w.flushing.Lock()
+	defer w.flushing.Unlock()
+	w.mu.Lock()
+	w.seal()
+	w.mu.Unlock()
+	for {
+		batch := w.first()
+		if batch == nil {
+			return nil
+		}
+		if err := WriteBatch(ctx, w.Table, batch); err != nil {
+			return w.mirrorAll(ctx, err)
+		}
+		if batch.mirrored {
+			w.Mirror.Release(ctx, batch)
+		}
+		w.mu.Lock()
+		w.sealed = w.sealed[1:]
+		w.buffered -= len(batch.Rows)
+		w.mu.Unlock()
+	}
+}
+
+func (w *Writer) first() *Batch {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.sealed) == 0 {
+		return nil
+	}
+	return w.sealed[0]
+}
+
+// mirrorAll hands the batches that can't be written to another host.
+func (w *Writer) mirrorAll(ctx context.Context, cause error) error {
+	if w.Mirror == nil {
+		return cause
+	}
+	w.mu.Lock()
+	batches := slices.Clone(w.sealed)
+	w.mu.Unlock()
+	for _, batch := range batches {
+		if batch.mirrored {
+			continue
+		}
+		if err := w.Mirror.Keep(ctx, batch); err != nil {
+			return fmt.Errorf("%w (and no copy on a peer: %w)", cause, err)
+		}
+		batch.mirrored = true
+	}
+	return cause
+}
+
+// WriteBatch writes a batch if it isn't there already. Any host may write any
+// batch any number of times.
+func WriteBatch(ctx context.Context, table Table, batch *Batch) error {
+	data, err := json.Marshal(batch)
+	if err != nil {
+		return fmt.Errorf("encoding ledger batch: %w", err)
+	}
+	err = table.Commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Table: tableLedger, Key: batch.Key(), Version: 0}},
+		Writes:     []platform.Write{{Table: tableLedger, Key: batch.Key(), Value: data}},
+	})
+	if err == nil || platform.IsConflict(err) {
+		return nil
+	}
+	return fmt.Errorf("writing ledger batch %s: %w", batch.Key(), err)
+}
+
+// Total sums the placements of one client account and model.
+type Total struct {
+	ClientAccount string `json:"clientAccount"`
+	Model         string `json:"model"`
+	Placements    int    `json:"placements"`
+	PromptTokens  int    `json:"promptTokens"`
+	AnswerTokens  int    `json:"answerTokens"`
+	ReusedTokens  int    `json:"reusedTokens"`
+}
+
+// Report is the sum of the whole ledger.
+type Report struct {
+	Batches int     `json:"batches"`
+	Totals  []Total `json:"totals"`
+	// Repeated counts request ids that occur more than once, which must be
+	// zero.
+	Repeated int `json:"repeated"`
+}
+
+// Sum reads all batches and sums them per client account and model.
+func Sum(ctx context.Context, table Table) (Report, error) {
+	var report Report
+	totals := map[string]*Total{}
+	seen := map[string]bool{}
+	after := ""
+	for {
+		rows, err := table.Scan(ctx, platform.Scan{Table: tableLedger, After: after, Limit: scanPage})
+		if err != nil {
+			return report, fmt.Errorf("reading ledger: %w", err)
+		}
+		for _, row := range rows {
+			after = row.Key
+			if err := addBatch(&report, totals, seen, row); err != nil {
+				return report, err
+			}
+		}
+		if len(rows) < scanPage {
+			break
+		}
+	}
+	report.Totals = sortedTotals(totals)
+	return report, nil
+}
+
+func addBatch(report *Report, totals map[string]*Total, seen map[string]bool, stored platform.Row) error {
+	var batch Batch
+	if err := json.Unmarshal(stored.Value, &batch); err != nil {
+		return fmt.Errorf("decoding ledger batch %s: %w", stored.Key, err)
+	}
+	report.Batches++
+	for i := range batch.Rows {
+		row := &batch.Rows[i]
+		if seen[row.RequestID] {
+			report.Repeated++
+			continue
+		}
+		seen[row.RequestID] = true
+		key := row.ClientAccount + "\x00" + row.Model
+		total := totals[key]
+		if total == nil {
+			total = &Total{ClientAccount: row.ClientAccount, Model: row.Model}
+			totals[key] = total
+		}
+		total.Placements++
+		total.PromptTokens += row.PromptTokens
+		total.AnswerTokens += row.AnswerTokens
+		total.ReusedTokens += row.ReusedTokens
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,176 @@
+// Package operator serves the operators: health, metrics, and the
+// administration of records.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasplank.example/sassafrasplank/internal/config"
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/platform"
+	"sassafrasplank.example/sassafrasplank/internal/recordstore"
+	"sassafrasplank.example/sassafrasplank/pkg/finding"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+const (
+	operatorKey     = "operator"
+	historyPage     = 200
+	maxRecordBytes  = 1 << 20
+	acceptWithin    = 15 * time.Second
+	ledgerSumWithin = time.Minute
+)
+
+// RecordWriter changes records.
+type RecordWriter interface {
+	Check(change record.Change) finding.List
+	Get(ctx context.Context, kind record.Kind, name string) (recordstore.Stored, bool, error)
+	History(ctx context.Context, after int64, limit int) ([]recordstore.Entry, error)
+	Apply(ctx context.Context, a recordstore.Amendment) (int64, error)
+}
+
+// RecordProvider gives the records in force.
+type RecordProvider interface {
+	Current() *record.Set
+	Defensible() bool
+}
+
+// GroupProvider tells the state of the entry hosts.
+type GroupProvider interface {
+	States() []peer.HostState
+}
+
+// Server answers operators. The exported fields are set before Handler.
+type Server struct {
+	Config  config.Operators
+	Records RecordProvider
+	Writer  RecordWriter
+	Group   GroupProvider
+	Ledger  ledger.Table
+	Metrics metrics.Registry
+	// Ready reports whether the balancer may send requests to this host.
+	Ready func() bool
+}
+
+// Handler returns the HTTP interface for operators.
+func (s *Server) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = handleError
+	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", s.ready)
+	e.GET("/metrics", s.metrics)
+	admin := e.Group("/admin/v1", s.authorize)
+	admin.GET("/records", s.list)
+	admin.GET("/records/:kind/:name", s.get)
+	admin.PUT("/records/:kind/:name", s.put)
+	admin.DELETE("/records/:kind/:name", s.remove)
+	admin.GET("/history", s.history)
+	admin.GET("/hosts", s.hosts)
+	admin.GET("/ledger", s.ledger)
+	return e
+}
+
+func (s *Server) ready(c echo.Context) error {
+	if !s.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (s *Server) metrics(c echo.Context) error {
+	c.Response().Header().Set("Content-Type", "application/json")
+	c.Response().WriteHeader(http.StatusOK)
+	metrics.WriteJSONOnce(s.Metrics, c.Response())
+	return nil
+}
+
+// authorize finds the operator of a key. Operators' keys are apart from those
+// of callers.
+func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		key, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(key))
+		hash := hex.EncodeToString(sum[:])
+		for _, known := range s.Config.Keys {
+			if known.SHA256 == hash {
+				c.Set(operatorKey, known.Name)
+				return next(c)
+			}
+		}
+		return echo.NewHTTPError(http.StatusUnauthorized, "the key belongs to no operator")
+	}
+}
+
+// Problem is the body of an error.
+type Problem struct {
+	Message  string       `json:"message"`
+	Findings finding.List `json:"findings,omitempty"`
+	// CurrentRevision is the revision to look at after a conflict.
+	CurrentRevision int64 `json:"currentRevision,omitempty"`
+	// MayBeAccepted is set when the outcome of a change isn't known.
+	MayBeAccepted bool   `json:"mayBeAccepted,omitempty"`
+	Nonce         string `json:"nonce,omitempty"`
+}
+
+func handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status, problem := problemOf(err)
+	_ = c.JSON(status, problem)
+}
+
+func problemOf(err error) (int, Problem) {
+	problem := Problem{Message: err.Error()}
+	var found *finding.Error
+	var conflict *recordstore.ConflictError
+	var uncertain *recordstore.UncertainError
+	var routing *echo.HTTPError
+	switch {
+	case errors.As(err, &found):
+		problem.Message = "the record has findings"
+		problem.Findings = found.Findings
+		return http.StatusUnprocessableEntity, problem
+	case errors.As(err, &conflict):
+		problem.CurrentRevision = conflict.Current
+		return http.StatusConflict, problem
+	case errors.As(err, &uncertain):
+		problem.MayBeAccepted = true
+		problem.Nonce = uncertain.Nonce
+		return http.StatusGatewayTimeout, problem
+	case errors.As(err, &routing):
+		if text, ok := routing.Message.(string); ok {
+			problem.Message = text
+		}
+		return routing.Code, problem
+	case errors.Is(err, platform.ErrUnavailable):
+		return http.StatusServiceUnavailable, problem
+	default:
+		return http.StatusInternalServerError, problem
+	}
+}
+
+func queryInt(c echo.Context, name string) (int64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, echo.NewHTTPError(http.StatusBadRequest, name+": want a revision, zero or more")
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/peer/report.go
@@ -0,0 +1,188 @@
+// Package peer speaks to the other entry hosts: it swaps membership updates
+// and load reports with them, and passes records and ledger batches on.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+)
+
+const (
+	maxNameBytes   = 256
+	maxDemands     = 4096
+	maxLoads       = 16384
+	maxSuspects    = 256
+	maxUpdates     = 256
+	unknownContact = -1
+)
+
+// Report is what a host tells of itself in each exchange.
+type Report struct {
+	Revision         int64
+	HighestRevision  int64
+	ContactAge       time.Duration
+	ContactKnown     bool
+	RequestsInFlight int
+	Demands          []AccountDemand
+	Loads            []TargetLoad
+	Suspects         []Suspect
+}
+
+// AccountDemand is the demand of a client account at one host.
+type AccountDemand struct {
+	Account         string
+	TokensPerSecond float64
+	InFlight        int
+}
+
+// TargetLoad is what one host has placed on a target.
+type TargetLoad struct {
+	Target        string
+	Requests      int
+	PrefillTokens float64
+	Slowness      float64
+}
+
+// Suspect is a request that ran on targets that died.
+type Suspect struct {
+	Fingerprint string
+	Crashes     int
+}
+
+func (r *Report) encode() *wire.Report {
+	encoded := &wire.Report{
+		Revision:         r.Revision,
+		HighestRevision:  r.HighestRevision,
+		ContactAgeMillis: unknownContact,
+		RequestsInFlight: int64(r.RequestsInFlight),
+	}
+	if r.ContactKnown {
+		encoded.ContactAgeMillis = r.ContactAge.Milliseconds()
+	}
+	for _, d := range r.Demands {
+		encoded.Demands = append(encoded.Demands, &wire.AccountDemand{
+			Account: d.Account, TokensPerSecond: float32(d.TokensPerSecond), InFlight: int32(d.InFlight),
+		})
+	}
+	for _, l := range r.Loads {
+		encoded.Loads = append(encoded.Loads, &wire.TargetLoad{
+			Target: l.Target, Requests: int32(l.Requests), PrefillTokens: float32(l.PrefillTokens), Slowness: float32(l.Slowness),
+		})
+	}
+	for _, s := range r.Suspects {
+		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: s.Fingerprint, Crashes: int32(s.Crashes)})
+	}
+	return encoded
+}
+
+// decodeReport checks a report and converts it.
+func decodeReport(w *wire.Report) (Report, error) {
+	if w == nil {
+		return Report{}, errors.New("peer report: is missing")
+	}
+	if len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects {
+		return Report{}, errors.New("peer report: has too many entries")
+	}
+	if w.Revision < 0 || w.HighestRevision < w.Revision || w.RequestsInFlight < 0 {
+		return Report{}, fmt.Errorf("peer report: want 0 <= revision <= highest revision, got %d and %d", w.Revision, w.HighestRevision)
+	}
+	r := Report{
+		Revision:         w.Revision,
+		HighestRevision:  w.HighestRevision,
+		ContactAge:       time.Duration(w.ContactAgeMillis) * time.Millisecond,
+		ContactKnown:     w.ContactAgeMillis >= 0,
+		RequestsInFlight: int(w.RequestsInFlight),
+	}
+	return r, errors.Join(r.decodeDemands(w.Demands), r.decodeLoads(w.Loads), r.decodeSuspects(w.Suspects))
+}
+
+func (r *Report) decodeDemands(demands []*wire.AccountDemand) error {
+	for _, d := range demands {
+		if len(d.Account) > maxNameBytes || d.TokensPerSecond < 0 || d.InFlight < 0 {
+			return fmt.Errorf("peer report: demand of %.40q is out of range", d.Account)
+		}
+		r.Demands = append(r.Demands, AccountDemand{
+			Account: d.Account, TokensPerSecond: float64(d.TokensPerSecond), InFlight: int(d.InFlight),
+		})
+	}
+	return nil
+}
+
+func (r *Report) decodeLoads(loads []*wire.TargetLoad) error {
+	for _, l := range loads {
+		if len(l.Target) > maxNameBytes || l.Requests < 0 || l.PrefillTokens < 0 {
+			return fmt.Errorf("peer report: load of %.40q is out of range", l.Target)
+		}
+		r.Loads = append(r.Loads, TargetLoad{
+			Target: l.Target, Requests: int(l.Requests), PrefillTokens: float64(l.PrefillTokens), Slowness: float64(l.Slowness),
+		})
+	}
+	return nil
+}
+
+func (r *Report) decodeSuspects(suspects []*wire.Suspect) error {
+	for _, s := range suspects {
+		if len(s.Fingerprint) > maxNameBytes || s.Crashes < 0 {
+			return fmt.Errorf("peer report: suspect %.40q is out of range", s.Fingerprint)
+		}
+		r.Suspects = append(r.Suspects, Suspect{Fingerprint: s.Fingerprint, Crashes: int(s.Crashes)})
+	}
+	return nil
+}
+
+func encodeMember(m membership.Member) *wire.Member {
+	return &wire.Member{
+		Name:          m.Name,
+		Url:           m.URL,
+		FailureDomain: m.FailureDomain,
+		Incarnation:   m.Incarnation,
+		Refutation:    m.Refutation,
+		Status:        wire.Status(m.Status),
+	}
+}
+
+func encodeMembers(members []membership.Member) []*wire.Member {
+	encoded := make([]*wire.Member, len(members))
+	for i, m := range members {
+		encoded[i] = encodeMember(m)
+	}
+	return encoded
+}
+
+// decodeMember checks a member and converts it.
+func decodeMember(w *wire.Member) (membership.Member, error) {
+	if w == nil || w.Name == "" || len(w.Name) > maxNameBytes || len(w.Url) > maxNameBytes {
+		return membership.Member{}, errors.New("member: want a name and a URL")
+	}
+	status := membership.Status(w.Status)
+	if status < membership.Alive || status > membership.Left {
+		return membership.Member{}, fmt.Errorf("member %s: status %d is not known", w.Name, w.Status)
+	}
+	return membership.Member{
+		Name:          w.Name,
+		URL:           w.Url,
+		FailureDomain: w.FailureDomain,
+		Incarnation:   w.Incarnation,
+		Refutation:    w.Refutation,
+		Status:        status,
+	}, nil
+}
+
+func decodeMembers(encoded []*wire.Member, limit int) ([]membership.Member, error) {
+	if len(encoded) > limit {
+		return nil, fmt.Errorf("members: want at most %d, got %d", limit, len(encoded))
+	}
+	members := make([]membership.Member, 0, len(encoded))
+	for _, w := range encoded {
+		m, err := decodeMember(w)
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, m)
+	}
+	return members, nil
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+)
+
+// server answers the calls of other entry hosts.
+type server struct {
+	group *Group
+}
+
+// Handler returns the interface for other entry hosts.
+func (g *Group) Handler() http.Handler {
+	return wire.NewPeerServer(&server{group: g})
+}
+
+// Exchange swaps membership updates and load reports.
+func (s *server) Exchange(_ context.Context, request *wire.ExchangeRequest) (*wire.ExchangeResponse, error) {
+	g := s.group
+	if err := g.take(g.Clock.Now(), request.From, request.Report, request.Updates, false); err != nil {
+		return nil, twirp.InvalidArgumentError("exchange", err.Error())
+	}
+	report := g.ownReport()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &wire.ExchangeResponse{
+		From:    encodeMember(g.table.Self()),
+		Report:  report.encode(),
+		Updates: encodeMembers(g.table.Updates(request.From.Name)),
+	}, nil
+}
+
+// Members returns all members that this host knows.
+func (s *server) Members(context.Context, *wire.MembersRequest) (*wire.MembersResponse, error) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return &wire.MembersResponse{Members: encodeMembers(s.group.table.Members())}, nil
+}
+
+// Catchup returns the records behind a revision.
+func (s *server) Catchup(_ context.Context, request *wire.CatchupRequest) (*wire.CatchupResponse, error) {
+	catchup := s.group.Records.CatchupFor(request.Since)
+	response := &wire.CatchupResponse{Revision: catchup.Revision, Whole: catchup.Whole}
+	for _, change := range catchup.Changes {
+		data, err := json.Marshal(change)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		response.Changes = append(response.Changes, data)
+	}
+	return response, nil
+}
+
+// KeepBatch keeps a copy of a ledger batch until it is released.
+func (s *server) KeepBatch(_ context.Context, request *wire.KeepBatchRequest) (*wire.KeepBatchResponse, error) {
+	batch := &ledger.Batch{}
+	if err := json.Unmarshal(request.Batch, batch); err != nil {
+		return nil, twirp.InvalidArgumentError("batch", err.Error())
+	}
+	if !s.group.batches.keep(batch) {
+		return nil, twirp.NewError(twirp.ResourceExhausted, "no room for further ledger batches")
+	}
+	return &wire.KeepBatchResponse{}, nil
+}
+
+// ReleaseBatch drops the copy of a ledger batch.
+func (s *server) ReleaseBatch(_ context.Context, request *wire.ReleaseBatchRequest) (*wire.ReleaseBatchResponse, error) {
+	s.group.batches.release(request.Key)
+	return &wire.ReleaseBatchResponse{}, nil
+}
+
+// JoinAll learns all members from one peer.
+func (g *Group) JoinAll(ctx context.Context, url string) error {
+	response, err := wire.NewPeerProtobufClient(url, g.HTTP).Members(ctx, &wire.MembersRequest{})
+	if err != nil {
+		return err
+	}
+	members, err := decodeMembers(response.Members, maxMembers)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var others []membership.Member
+	for _, m := range members {
+		if m.Name != g.Self.Name {
+			others = append(others, m)
+		}
+	}
+	g.table.Merge(g.Clock.Now(), others)
+	return nil
+}
--- /dev/null
+++ b/internal/placement/board.go
@@ -0,0 +1,362 @@
+// Package placement chooses the target for each request by the expected time
+// to its first token. It does no I/O, reads no clock and starts no goroutine;
+// its caller serializes access.
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+)
+
+const (
+	// scanLimit is the size of a pool up to which every target is compared.
+	scanLimit = 32
+	// medianEvery is the time between two looks at the pool's usual slowness.
+	medianEvery  = 250 * time.Millisecond
+	medianSample = 64
+)
+
+// Params are the settings of a Board.
+type Params struct {
+	PreferredCount  int
+	RandomCount     int
+	PieceTokens     int
+	IndexEntries    int
+	BytesPerToken   float64
+	LongSlotPercent float64
+	WarmUp          time.Duration
+	SlowRatio       float64
+	ProbeEvery      time.Duration
+	// WorkWeight is the weight of the prefill time that a choice costs others.
+	WorkWeight float64
+	// LinkWeight is the weight of the transfer time that a choice costs others.
+	LinkWeight float64
+	Seed       uint64
+}
+
+// DefaultWorkWeight and DefaultLinkWeight suit both deployments.
+const (
+	DefaultWorkWeight = 0.5
+	DefaultLinkWeight = 0.25
+)
+
+// Board holds what one entry host knows of the engines and the store links.
+type Board struct {
+	params  Params
+	rng     *rand.Rand
+	engines []*engine
+	numbers map[string]int32
+	pools   map[string]*pool
+	index   *prefix.Index
+	stored  *prefix.Index
+	links   []*link
+	linkNo  map[string]int32
+
+	stamp   uint64
+	picked  []int32
+	scratch []scored
+	holders []prefix.Holder
+	depths  []int
+}
+
+// pool is the set of engines that may run one model.
+type pool struct {
+	engines  []*engine
+	ring     *ring
+	median   float64
+	medianAt time.Time
+}
+
+// NewBoard returns a board without engines.
+func NewBoard(params Params) *Board {
+	return &Board{
+		params:  params,
+		rng:     rand.New(rand.NewPCG(params.Seed, params.Seed^0x5bd1e995)),
+		numbers: map[string]int32{},
+		pools:   map[string]*pool{},
+		index:   prefix.NewIndex(params.IndexEntries),
+		stored:  prefix.NewIndex(params.IndexEntries),
+		linkNo:  map[string]int32{},
+	}
+}
+
+// SetEngines replaces the set of engines. What is known of engines that stay
+// is kept; requests on engines that go end as usual.
+func (b *Board) SetEngines(now time.Time, specs []EngineSpec) {
+	for _, e := range b.engines {
+		e.gone = true
+	}
+	for _, spec := range specs {
+		number, known := b.numbers[spec.Name]
+		if known {
+			b.engines[number].spec = spec
+			b.engines[number].gone = false
+			continue
+		}
+		number = b.freeNumber()
+		e := newEngine(number, spec, now)
+		b.engines[number] = e
+		b.numbers[spec.Name] = number
+	}
+	b.rebuildPools()
+}
+
+// freeNumber returns the number of an engine that is gone and empty, or a new
+// one, so that numbers stay small when engines come and go.
+func (b *Board) freeNumber() int32 {
+	for number, e := range b.engines {
+		if e.gone && e.inFlight == 0 && b.numbers[e.spec.Name] == int32(number) {
+			delete(b.numbers, e.spec.Name)
+			b.index.Forget(int32(number))
+			return int32(number)
+		}
+	}
+	b.engines = append(b.engines, nil)
+	b.depths = append(b.depths, 0)
+	return int32(len(b.engines) - 1)
+}
+
+func (b *Board) rebuildPools() {
+	members := map[string][]*engine{}
+	for _, e := range b.engines {
+		if e.gone {
+			continue
+		}
+		for _, model := range e.spec.Models {
+			members[model] = append(members[model], e)
+		}
+	}
+	b.pools = make(map[string]*pool, len(members))
+	for model, engines := range members {
+		b.pools[model] = &pool{engines: engines, ring: newRing(engines), median: 1}
+	}
+}
+
+// SetLinks replaces the set of links to store hosts.
+func (b *Board) SetLinks(specs []LinkSpec) {
+	for _, l := range b.links {
+		l.down = true
+	}
+	for _, spec := range specs {
+		if number, known := b.linkNo[spec.Store]; known {
+			b.links[number].spec = spec
+			b.links[number].down = false
+			continue
+		}
+		number := int32(len(b.links))
+		b.links = append(b.links, &link{number: number, spec: spec, share: 1})
+		b.linkNo[spec.Store] = number
+	}
+}
+
+// SetLinkDown notes whether a store host can be reached.
+func (b *Board) SetLinkDown(store string, down bool) {
+	if number, ok := b.linkNo[store]; ok {
+		b.links[number].down = down
+	}
+}
+
+// Report takes in a load report. A restarted engine has lost its cache.
+func (b *Board) Report(now time.Time, target string, report LoadReport) {
+	e := b.find(target)
+	if e == nil {
+		return
+	}
+	if e.incarnation != 0 && e.incarnation != report.Incarnation {
+		b.index.Forget(e.number)
+	}
+	e.report(now, report)
+}
+
+// Unreachable notes that a target didn't answer. It gets no new request until
+// its next load report.
+func (b *Board) Unreachable(target string) {
+	if e := b.find(target); e != nil {
+		e.unreachable = true
+	}
+}
+
+// Leaving notes that a target is going away, from its own answer or from the
+// host list.
+func (b *Board) Leaving(now time.Time, target string) {
+	if e := b.find(target); e != nil {
+		e.leaving = true
+		e.leavingAt = now
+	}
+}
+
+// PeerLoad is what the other entry hosts tell of a target.
+type PeerLoad struct {
+	Requests      int
+	PrefillTokens float64
+	// Slowness is the highest score that a peer measured, zero if none did.
+	Slowness float64
+}
+
+// SetPeerLoad notes what the other entry hosts tell of a target.
+func (b *Board) SetPeerLoad(now time.Time, target string, load PeerLoad) {
+	if e := b.find(target); e != nil {
+		e.peerInFlight = load.Requests
+		e.peerPrefill = load.PrefillTokens
+		e.peerSlow = load.Slowness
+		e.notePeak(now)
+	}
+}
+
+// Cached notes that a target holds a prefix, or no longer does.
+func (b *Board) Cached(target string, key prefix.Key, removed bool) {
+	e := b.find(target)
+	if e == nil {
+		return
+	}
+	if removed {
+		b.index.Remove(key, e.number)
+		return
+	}
+	b.index.Add(key, e.number)
+}
+
+// ForgetCache drops what is known of a target's cache, after a gap in its
+// events that can't be closed.
+func (b *Board) ForgetCache(target string) {
+	if e := b.find(target); e != nil {
+		b.index.Forget(e.number)
+	}
+}
+
+// Stored notes that a store host holds a prefix, or no longer does.
+func (b *Board) Stored(store string, key prefix.Key, removed bool) {
+	number, ok := b.linkNo[store]
+	if !ok {
+		return
+	}
+	if removed {
+		b.stored.Remove(key, number)
+		return
+	}
+	b.stored.Add(key, number)
+}
+
+// LinkObserved compares a finished transfer with its estimate.
+func (b *Board) LinkObserved(store string, expected, measured time.Duration) {
+	if number, ok := b.linkNo[store]; ok {
+		b.links[number].observe(expected, measured)
+	}
+}
+
+// LinkBacklog returns how long a store host's link is booked.
+func (b *Board) LinkBacklog(now time.Time, store string) time.Duration {
+	number, ok := b.linkNo[store]
+	if !ok {
+		return 0
+	}
+	return max(0, b.links[number].busyTil.Sub(now))
+}
+
+// BookLink counts a transfer that is ordered now.
+func (b *Board) BookLink(now time.Time, store string, bytes float64) {
+	if number, ok := b.linkNo[store]; ok {
+		b.links[number].book(now, bytes)
+	}
+}
+
+// VersionShare returns the share of the model's engines that can serve a
+// version, from 0 to 1.
+func (b *Board) VersionShare(model, version string) float64 {
+	p := b.pools[model]
+	if p == nil || len(p.engines) == 0 {
+		return 0
+	}
+	ready := 0
+	for _, e := range p.engines {
+		if e.usable() && e.holds(version) {
+			ready++
+		}
+	}
+	return float64(ready) / float64(len(p.engines))
+}
+
+// Slots returns the slots of all engines that can be used.
+func (b *Board) Slots() int {
+	slots := 0
+	for _, e := range b.engines {
+		if !e.gone && e.usable() {
+			slots += e.spec.Slots
+		}
+	}
+	return slots
+}
+
+// InFlight is what this host has placed on one target.
+type InFlight struct {
+	Target        string
+	Requests      int
+	PrefillTokens float64
+	Slowness      float64
+}
+
+// InFlight lists the targets that run requests of this host, or are slowed.
+func (b *Board) InFlight(now time.Time) []InFlight {
+	var list []InFlight
+	for _, e := range b.engines {
+		score := e.slow.Score(now)
+		if e.gone || (e.inFlight == 0 && score < noticeableSlowness) {
+			continue
+		}
+		list = append(list, InFlight{Target: e.spec.Name, Requests: e.inFlight, PrefillTokens: e.prefillTokens, Slowness: score})
+	}
+	return list
+}
+
+// Knows reports whether a key was seen on any target or store host.
+func (b *Board) Knows(key prefix.Key) bool {
+	return b.index.Contains(key) || b.stored.Contains(key)
+}
+
+// LinkDown reports whether a store host is known to be out of reach.
+func (b *Board) LinkDown(store string) bool {
+	number, ok := b.linkNo[store]
+	return !ok || b.links[number].down
+}
+
+// Usable reports whether a target may get new requests.
+func (b *Board) Usable(target string) bool {
+	e := b.find(target)
+	return e != nil && !e.gone && e.usable()
+}
+
+// Holds reports whether an engine has loaded a version.
+func (b *Board) Holds(target, version string) bool {
+	e := b.find(target)
+	return e != nil && e.holds(version)
+}
+
+func (b *Board) find(target string) *engine {
+	number, ok := b.numbers[target]
+	if !ok {
+		return nil
+	}
+	return b.engines[number]
+}
+
+func (e *engine) usable() bool {
+	return !e.leaving && !e.unreachable
+}
+
+// refreshMedian looks at the usual slowness of a pool's engines now and then.
+func (b *Board) refreshMedian(now time.Time, p *pool) {
+	if now.Sub(p.medianAt) < medianEvery {
+		return
+	}
+	p.medianAt = now
+	step := max(1, len(p.engines)/medianSample)
+	scores := make([]float64, 0, medianSample+1)
+	for i := 0; i < len(p.engines); i += step {
+		scores = append(scores, p.engines[i].slow.Score(now))
+	}
+	slices.Sort(scores)
+	p.median = max(1, scores[len(scores)/2])
+}
--- /dev/null
+++ b/internal/placement/engine.go
@@ -0,0 +1,149 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/slowness"
+)
+
+const (
+	jobSampleWeight = 0.1
+	// defaultJobTime is assumed before the first request has finished.
+	defaultJobTime = 2 * time.Second
+	// reportMemory is how long the load placed by the entry hosts is compared
+	// with a load report, which may be that late.
+	reportMemory = 3 * time.Second
+	// noticeableSlowness is the score below which a target counts as normal.
+	noticeableSlowness = 1.3
+)
+
+// EngineSpec describes an engine that can be chosen.
+type EngineSpec struct {
+	Name          string
+	FailureDomain string
+	Models        []string
+	Slots         int
+	// PrefillRate is in prompt tokens per second, idle.
+	PrefillRate float64
+	TokenGap    time.Duration
+}
+
+// LoadReport is what an engine said of its load, late.
+type LoadReport struct {
+	Running     int
+	Waiting     int
+	Versions    []string
+	Leaving     bool
+	Incarnation int64
+}
+
+// engine holds what is known of one engine.
+type engine struct {
+	number int32
+	spec   EngineSpec
+	gone   bool
+
+	firstSeen   time.Time
+	incarnation int64
+	versions    []string
+	leaving     bool
+	leavingAt   time.Time
+	unreachable bool
+
+	inFlight      int
+	long          int
+	suspects      int
+	prefillTokens float64
+	peerInFlight  int
+	peerPrefill   float64
+	peerSlow      float64
+	external      int
+	peakInFlight  int
+	peakAt        time.Time
+	jobTime       time.Duration
+
+	slow      slowness.Tracker
+	candidate uint64
+}
+
+func newEngine(number int32, spec EngineSpec, now time.Time) *engine {
+	return &engine{number: number, spec: spec, firstSeen: now, jobTime: defaultJobTime}
+}
+
+// load returns the requests at the engine, with those that only its reports
+// tell of.
+func (e *engine) load() int {
+	return e.inFlight + e.peerInFlight + e.external
+}
+
+func (e *engine) holds(version string) bool {
+	return slices.Contains(e.versions, version)
+}
+
+// peerTrust is the weight of a slowness that only a peer has measured.
+const peerTrust = 0.5
+
+// slowness returns the score of the engine by this host's and its peers'
+// measurements.
+func (e *engine) slowness(now time.Time) float64 {
+	return max(e.slow.Score(now), 1+(e.peerSlow-1)*peerTrust)
+}
+
+// report takes in a load report. Requests that this host and its peers have
+// placed in the meantime aren't counted twice.
+func (e *engine) report(now time.Time, report LoadReport) {
+	if report.Incarnation != e.incarnation {
+		e.firstSeen = now
+		e.incarnation = report.Incarnation
+		e.leaving = false
+		e.leavingAt = time.Time{}
+	}
+	e.versions = report.Versions
+	// A report that is late must not revoke a newer sign of leaving.
+	if report.Leaving || now.Sub(e.leavingAt) > reportMemory {
+		e.leaving = report.Leaving
+	}
+	e.unreachable = false
+	e.external = max(0, report.Running+report.Waiting-max(e.peak(now), e.inFlight+e.peerInFlight))
+	e.notePeak(now)
+}
+
+// peak returns the most requests placed within the age a report may have.
+func (e *engine) peak(now time.Time) int {
+	if now.Sub(e.peakAt) > reportMemory {
+		return e.inFlight + e.peerInFlight
+	}
+	return e.peakInFlight
+}
+
+func (e *engine) notePeak(now time.Time) {
+	placed := e.inFlight + e.peerInFlight
+	if placed >= e.peakInFlight || now.Sub(e.peakAt) > reportMemory {
+		e.peakInFlight = placed
+		e.peakAt = now
+	}
+}
+
+// expectedWait estimates the time until a new request's prefill begins.
+func (e *engine) expectedWait(slow float64) float64 {
+	wait := (e.prefillTokens + e.peerPrefill) / e.spec.PrefillRate
+	if over := e.load() - e.spec.Slots + 1; over > 0 {
+		wait += float64(over) * e.jobTime.Seconds() / float64(e.spec.Slots)
+	}
+	return wait * slow
+}
+
+// longSlots returns how many long requests may run at the same time.
+func (e *engine) longSlots(percent float64) int {
+	return max(1, int(float64(e.spec.Slots)*percent/100))
+}
+
+// warmUpSlots returns how many requests a new engine may hold already.
+func (e *engine) warmUpSlots(now time.Time, warmUp time.Duration) int {
+	age := now.Sub(e.firstSeen)
+	if age >= warmUp {
+		return 1 << 30
+	}
+	return max(1, int(float64(e.spec.Slots)*float64(age)/float64(warmUp)))
+}
--- /dev/null
+++ b/internal/placement/place.go
@@ -0,0 +1,229 @@
+package placement
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tieMargin is the relative difference below which two targets count as equal.
+const tieMargin = 0.01
+
+// answerWeight is the weight of the time a slowed target adds to the answer
+// behind its first token.
+const answerWeight = 0.1
+
+// suspectWeight is the time in seconds that each request of others on a target
+// counts against it when a suspect is placed.
+const suspectWeight = 1
+
+// Place chooses a target for a request and writes the decision into d.
+func (b *Board) Place(now time.Time, req *Request, d *Decision) {
+	considered := d.Considered[:0]
+	*d = Decision{Reason: ReasonNoTarget, Considered: considered}
+	p := b.pools[req.Model]
+	if p == nil {
+		return
+	}
+	b.refreshMedian(now, p)
+	b.gather(p, req)
+	storePieces, storeLink := b.storedPrefix(req)
+	longFull := false
+	for _, number := range b.picked {
+		e := b.engines[number]
+		if !b.eligible(now, e, req) {
+			continue
+		}
+		if req.Long && e.long >= e.longSlots(b.params.LongSlotPercent) {
+			longFull = true
+			continue
+		}
+		d.Considered = append(d.Considered, b.estimate(now, p, e, req, storePieces, storeLink))
+	}
+	if len(d.Considered) == 0 {
+		if longFull {
+			d.Reason = ReasonNoLongSlot
+		}
+		return
+	}
+	b.choose(now, req, d)
+	if d.Chosen.Source == SourceStore {
+		d.Store = storeLink.spec.Store
+		d.ImportPieces = storePieces
+	}
+}
+
+// gather fills picked with the candidates of a request and notes how many
+// pieces of its prompt each one is known to hold.
+func (b *Board) gather(p *pool, req *Request) {
+	b.stamp++
+	b.picked = b.picked[:0]
+	b.holders = b.index.Holders(b.holders[:0], req.Chain, b.params.PreferredCount)
+	for _, holder := range b.holders {
+		if b.add(holder.Target) {
+			b.depths[holder.Target] = holder.Pieces
+		}
+	}
+	if len(p.engines) <= scanLimit {
+		for _, e := range p.engines {
+			b.add(e.number)
+		}
+		return
+	}
+	first := len(b.picked)
+	b.picked, b.scratch = p.ring.pick(b.picked, b.scratch, affinity(req), b.params.PreferredCount)
+	added := b.picked[first:]
+	b.picked = b.picked[:first]
+	for _, number := range added {
+		b.add(number)
+	}
+	for range b.params.RandomCount {
+		b.add(p.engines[b.rng.IntN(len(p.engines))].number)
+	}
+}
+
+// add makes an engine a candidate, once.
+func (b *Board) add(number int32) bool {
+	e := b.engines[number]
+	if e.candidate == b.stamp {
+		return false
+	}
+	e.candidate = b.stamp
+	b.depths[number] = 0
+	b.picked = append(b.picked, number)
+	return true
+}
+
+// affinity returns the hash by which requests with the same beginning prefer
+// the same targets.
+func affinity(req *Request) uint64 {
+	if len(req.Chain) > 0 {
+		return binary.LittleEndian.Uint64(req.Chain[0][:8])
+	}
+	return xxhash.Sum64String(req.ID)
+}
+
+// storedPrefix returns the longest prefix of the prompt on a store host that
+// can be reached.
+func (b *Board) storedPrefix(req *Request) (int, *link) {
+	b.holders = b.stored.Holders(b.holders[:0], req.Chain, len(b.links))
+	for _, holder := range b.holders {
+		if l := b.links[holder.Target]; !l.down {
+			return holder.Pieces, l
+		}
+	}
+	return 0, nil
+}
+
+func (b *Board) eligible(now time.Time, e *engine, req *Request) bool {
+	if e.gone || !e.usable() || !e.holds(req.Version) {
+		return false
+	}
+	if req.Suspect && e.suspects > 0 {
+		return false
+	}
+	if slices.Contains(req.Exclude, e.spec.Name) {
+		return false
+	}
+	if !slices.Contains(e.spec.Models, req.Model) {
+		return false
+	}
+	return e.load() < e.warmUpSlots(now, b.params.WarmUp)
+}
+
+// estimate works out the parts of the expected time on one engine.
+func (b *Board) estimate(now time.Time, p *pool, e *engine, req *Request, storePieces int, l *link) Estimate {
+	slow := max(1, e.slowness(now)/p.median)
+	if slow < noticeableSlowness {
+		slow = 1
+	}
+	reused := min(req.PromptTokens, b.depths[e.number]*b.params.PieceTokens)
+	est := Estimate{
+		Target:       e.spec.Name,
+		Wait:         e.expectedWait(slow),
+		Slowness:     slow,
+		Source:       SourceNone,
+		ReusedTokens: reused,
+		number:       e.number,
+	}
+	if reused > 0 {
+		est.Source = SourceTarget
+	}
+	local := float64(req.PromptTokens-reused) / e.spec.PrefillRate
+	est.Prefill = local * slow
+	est.Penalty = b.params.WorkWeight * local
+	if l != nil && storePieces*b.params.PieceTokens > reused {
+		b.considerImport(now, &est, e, req, storePieces, l)
+	}
+	est.Penalty += answerWeight * (slow - 1) * float64(req.AnswerTokens) * e.spec.TokenGap.Seconds()
+	if req.Suspect {
+		est.Penalty += suspectWeight * float64(e.load())
+	}
+	return est
+}
+
+// considerImport replaces the recomputation of a stored part by its import
+// where that is expected to be cheaper.
+func (b *Board) considerImport(now time.Time, est *Estimate, e *engine, req *Request, storePieces int, l *link) {
+	stored := min(req.PromptTokens, storePieces*b.params.PieceTokens)
+	imported := stored - est.ReusedTokens
+	bytes := float64(imported) * b.params.BytesPerToken
+	rest := float64(req.PromptTokens-stored) / e.spec.PrefillRate
+	with := *est
+	with.Source = SourceStore
+	with.Import = l.transferTime(now, bytes)
+	with.Prefill = rest * est.Slowness
+	with.ImportedTokens = imported
+	with.Penalty = b.params.WorkWeight*rest + b.params.LinkWeight*bytes/l.spec.BytesPerSecond
+	if with.Total() < est.Total() {
+		*est = with
+	}
+}
+
+// choose takes the least total, a random one of those that are nearly equal.
+func (b *Board) choose(now time.Time, req *Request, d *Decision) {
+	if req.MayProbe && b.probe(now, d) {
+		return
+	}
+	least := math.Inf(1)
+	for i := range d.Considered {
+		least = min(least, d.Considered[i].Total())
+	}
+	limit := least + least*tieMargin
+	ties := 0
+	chosen := 0
+	for i := range d.Considered {
+		if d.Considered[i].Total() > limit {
+			continue
+		}
+		ties++
+		if b.rng.IntN(ties) == 0 {
+			chosen = i
+		}
+	}
+	d.Chosen = d.Considered[chosen]
+	d.Target = d.Chosen.Target
+	d.Reason = ReasonLeast
+}
+
+// probe sends a request to a slowed engine that was not tried for a while and
+// has no request of this host that would tell.
+func (b *Board) probe(now time.Time, d *Decision) bool {
+	for i := range d.Considered {
+		est := &d.Considered[i]
+		e := b.engines[est.number]
+		if est.Slowness < b.params.SlowRatio || e.inFlight > 0 {
+			continue
+		}
+		if e.slow.ProbeDue(now, b.params.ProbeEvery) {
+			d.Chosen = *est
+			d.Target = est.Target
+			d.Reason = ReasonProbe
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/placement/rendezvous.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// groupsTried is the number of groups whose members are scored for one key.
+const groupsTried = 2
+
+// ring chooses members of a pool by weighted rendezvous hashing in two levels:
+// first the groups, then the members of the best groups. The cost grows with
+// the square root of the pool.
+type ring struct {
+	groups [][]ringMember
+}
+
+type ringMember struct {
+	engine int32
+	hash   uint64
+	weight float64
+}
+
+type scored struct {
+	engine int32
+	score  float64
+}
+
+// newRing spreads the engines over groups by the hash of their names, so that
+// a change of one engine moves few others.
+func newRing(engines []*engine) *ring {
+	count := 1
+	if n := len(engines); n > 0 {
+		count = 1 << (bits.Len(uint(n)) / 2)
+	}
+	r := &ring{groups: make([][]ringMember, count)}
+	for _, e := range engines {
+		hash := xxhash.Sum64String(e.spec.Name)
+		group := int(hash % uint64(count))
+		r.groups[group] = append(r.groups[group], ringMember{engine: e.number, hash: hash, weight: float64(e.spec.Slots)})
+	}
+	return r
+}
+
+// pick appends up to n engines for a key, the best first. The scratch slice is
+// reused between calls.
+func (r *ring) pick(picked []int32, scratch []scored, key uint64, n int) ([]int32, []scored) {
+	scratch = scratch[:0]
+	for range min(groupsTried, len(r.groups)) {
+		group := r.bestGroup(key, scratch)
+		scratch = append(scratch, scored{engine: int32(group)})
+	}
+	first := len(scratch)
+	for _, group := range scratch[:first] {
+		for _, member := range r.groups[group.engine] {
+			score := weightedScore(mix(key^member.hash), member.weight)
+			scratch = append(scratch, scored{engine: member.engine, score: score})
+		}
+	}
+	members := scratch[first:]
+	slices.SortFunc(members, func(a, b scored) int {
+		if a.score > b.score {
+			return -1
+		}
+		return 1
+	})
+	for _, member := range members[:min(n, len(members))] {
+		picked = append(picked, member.engine)
+	}
+	return picked, scratch
+}
+
+// bestGroup returns the group with the highest hash that isn't taken yet.
+func (r *ring) bestGroup(key uint64, taken []scored) int {
+	best, bestHash := 0, uint64(0)
+	for group := range r.groups {
+		if slices.ContainsFunc(taken, func(s scored) bool { return int(s.engine) == group }) {
+			continue
+		}
+		if hash := mix(key + uint64(group)*0x9e3779b97f4a7c15); hash >= bestHash {
+			best, bestHash = group, hash
+		}
+	}
+	return best
+}
+
+// weightedScore turns a hash into a score such that the highest one wins with
+// a probability in proportion to the weight.
+func weightedScore(hash uint64, weight float64) float64 {
+	unit := (float64(hash>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(unit)
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/placement/ticket.go
@@ -0,0 +1,117 @@
+package placement
+
+import (
+	"time"
+)
+
+// pendingFactor is how many times the expected time a request may take before
+// its target counts as slowed without an answer.
+const pendingFactor = 2
+
+// minimumExpected is the least expected time that is compared with a measured
+// one, so that noise on short times doesn't count.
+const minimumExpected = 20 * time.Millisecond
+
+// Start counts a request as placed according to a decision.
+func (b *Board) Start(now time.Time, req *Request, d *Decision) Ticket {
+	e := b.engines[d.Chosen.number]
+	recomputed := req.PromptTokens - d.Chosen.ReusedTokens - d.Chosen.ImportedTokens
+	t := Ticket{
+		Target:        d.Target,
+		PlacedAt:      now,
+		ExpectedFirst: time.Duration(d.Chosen.FirstToken() / d.Chosen.Slowness * float64(time.Second)),
+		ExpectedGap:   e.spec.TokenGap,
+		Long:          req.Long,
+		Suspect:       req.Suspect,
+		number:        e.number,
+		prefill:       float64(max(0, recomputed)),
+		prefilling:    true,
+		active:        true,
+	}
+	e.inFlight++
+	e.prefillTokens += t.prefill
+	if t.Suspect {
+		e.suspects++
+	}
+	if t.Long {
+		e.long++
+	}
+	if d.Chosen.Source == SourceStore {
+		b.BookLink(now, d.Store, float64(d.Chosen.ImportedTokens)*b.params.BytesPerToken)
+	}
+	e.notePeak(now)
+	for _, key := range req.Chain {
+		b.index.Add(key, e.number)
+	}
+	return t
+}
+
+// FirstToken notes the first token of a request.
+func (b *Board) FirstToken(now time.Time, t *Ticket) {
+	if !t.active || !t.prefilling {
+		return
+	}
+	e := b.engines[t.number]
+	b.endPrefill(e, t)
+	b.clearSuspect(e, t)
+	e.slow.Observe(now, now.Sub(t.PlacedAt), max(t.ExpectedFirst, minimumExpected))
+}
+
+// Pending notes that a request still waits for its first token.
+func (b *Board) Pending(now time.Time, t *Ticket) {
+	if !t.active || !t.prefilling {
+		return
+	}
+	expected := max(t.ExpectedFirst, minimumExpected) * pendingFactor
+	if elapsed := now.Sub(t.PlacedAt); elapsed > expected {
+		b.engines[t.number].slow.ObservePending(now, elapsed, expected)
+	}
+}
+
+// Gap notes the mean time between tokens of a request since the last call.
+func (b *Board) Gap(now time.Time, t *Ticket, gap time.Duration) {
+	if t.active {
+		b.engines[t.number].slow.Observe(now, gap, t.ExpectedGap)
+	}
+}
+
+// MarkLong notes that a request turned out to be long.
+func (b *Board) MarkLong(t *Ticket) {
+	if t.active && !t.Long {
+		t.Long = true
+		b.engines[t.number].long++
+	}
+}
+
+// Finish ends a request on its target. It may be called again without effect.
+func (b *Board) Finish(now time.Time, t *Ticket) {
+	if !t.active {
+		return
+	}
+	t.active = false
+	e := b.engines[t.number]
+	b.endPrefill(e, t)
+	e.inFlight--
+	b.clearSuspect(e, t)
+	if t.Long {
+		e.long--
+		return
+	}
+	held := now.Sub(t.PlacedAt)
+	e.jobTime += time.Duration(float64(held-e.jobTime) * jobSampleWeight)
+}
+
+func (b *Board) endPrefill(e *engine, t *Ticket) {
+	if t.prefilling {
+		t.prefilling = false
+		e.prefillTokens = max(0, e.prefillTokens-t.prefill)
+	}
+}
+
+// clearSuspect lets the next suspect onto the target.
+func (b *Board) clearSuspect(e *engine, t *Ticket) {
+	if t.Suspect {
+		t.Suspect = false
+		e.suspects--
+	}
+}
--- /dev/null
+++ b/internal/recordstore/entry.go
@@ -0,0 +1,81 @@
+// Package recordstore keeps the operators' records in the platform's table
+// service and makes every entry host follow them. All records share one
+// revision number, and a host never goes back to a lower one.
+package recordstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/platform"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+// Names of tables and keys at the table service.
+const (
+	tableConfig  = "config"
+	tableRecord  = "record"
+	tableHistory = "history"
+	keyRevision  = "revision"
+)
+
+const scanPage = 500
+
+// Table is the part of the table service that records need.
+type Table interface {
+	Get(ctx context.Context, table, key string) (platform.Row, bool, error)
+	Scan(ctx context.Context, s platform.Scan) ([]platform.Row, error)
+	Commit(ctx context.Context, tx platform.Transaction) error
+}
+
+// Entry is one accepted change in the history of the records.
+type Entry struct {
+	Revision int64         `json:"revision"`
+	Nonce    string        `json:"nonce"`
+	Operator string        `json:"operator"`
+	At       time.Time     `json:"at"`
+	Change   record.Change `json:"change"`
+}
+
+// UnmarshalJSON decodes an entry and checks it.
+func (e *Entry) UnmarshalJSON(data []byte) error {
+	type plain Entry
+	if err := json.Unmarshal(data, (*plain)(e)); err != nil {
+		return err
+	}
+	if e.Revision < 1 || e.Change.Record.Kind == "" || e.Change.Record.Name == "" {
+		return fmt.Errorf("history entry: want revision, kind and name, got %s", data)
+	}
+	return nil
+}
+
+// Stored is a record as kept in its row, with the revision of its last change.
+type Stored struct {
+	Revision int64         `json:"revision"`
+	Record   record.Record `json:"record"`
+}
+
+type revisionValue struct {
+	Revision int64 `json:"revision"`
+}
+
+// Seed writes records directly, one revision each, for an empty table.
+func Seed(put func(table, key string, value any) error, records []record.Record, at time.Time) error {
+	for i, r := range records {
+		revision := int64(i + 1)
+		entry := Entry{Revision: revision, Nonce: "seed", Operator: "seed", At: at, Change: record.Change{Record: r}}
+		if err := put(tableHistory, historyKey(revision), entry); err != nil {
+			return err
+		}
+		if err := put(tableRecord, r.Key(), Stored{Revision: revision, Record: r}); err != nil {
+			return err
+		}
+	}
+	return put(tableConfig, keyRevision, revisionValue{Revision: int64(len(records))})
+}
+
+func historyKey(revision int64) string {
+	return fmt.Sprintf("%012d", revision)
+}
--- /dev/null
+++ b/internal/retry/suspects.go
@@ -0,0 +1,103 @@
+package retry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+const (
+	// suspectsKept bounds the fingerprints remembered.
+	suspectsKept = 4096
+	// fingerprintDigits is the length of a fingerprint.
+	fingerprintDigits = 32
+)
+
+// Fingerprint identifies the content of a request within its client account.
+func Fingerprint(account, model, content string) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%d:%s%d:%s%s", len(account), account, len(model), model, content))
+	return hex.EncodeToString(sum[:])[:fingerprintDigits]
+}
+
+// Suspects counts for each request how many targets died while it ran. It
+// isn't safe for concurrent use.
+type Suspects struct {
+	// Attempts is how many times a suspect is tried again.
+	Attempts int
+	// Keep is how long a count is remembered.
+	Keep time.Duration
+
+	counts map[string]suspect
+}
+
+type suspect struct {
+	crashes int
+	until   time.Time
+}
+
+// Crashed counts a target that died while the request ran and returns the
+// number of such targets so far.
+func (s *Suspects) Crashed(now time.Time, fingerprint string) int {
+	crashes := s.Count(now, fingerprint) + 1
+	s.set(now, fingerprint, crashes)
+	return crashes
+}
+
+// Merge takes in the count of another host.
+func (s *Suspects) Merge(now time.Time, fingerprint string, crashes int) {
+	if crashes > s.Count(now, fingerprint) {
+		s.set(now, fingerprint, crashes)
+	}
+}
+
+// Cleared forgets a request that has run whole, or that an operator lifted.
+func (s *Suspects) Cleared(fingerprint string) { delete(s.counts, fingerprint) }
+
+// Count returns how many targets died while the request ran.
+func (s *Suspects) Count(now time.Time, fingerprint string) int {
+	found, ok := s.counts[fingerprint]
+	if !ok || now.After(found.until) {
+		return 0
+	}
+	return found.crashes
+}
+
+// Proven reports whether a request has used up its attempts.
+func (s *Suspects) Proven(now time.Time, fingerprint string) bool {
+	return s.Count(now, fingerprint) > s.Attempts
+}
+
+// All calls f for each fingerprint and its count.
+func (s *Suspects) All(now time.Time, f func(fingerprint string, crashes int)) {
+	for fingerprint, found := range s.counts {
+		if !now.After(found.until) {
+			f(fingerprint, found.crashes)
+		}
+	}
+}
+
+func (s *Suspects) set(now time.Time, fingerprint string, crashes int) {
+	if s.counts == nil {
+		s.counts = map[string]suspect{}
+	}
+	if len(s.counts) >= suspectsKept {
+		s.dropExpired(now)
+	}
+	s.counts[fingerprint] = suspect{crashes: crashes, until: now.Add(s.Keep)}
+}
+
+// dropExpired makes room: first the expired counts, then any one.
+func (s *Suspects) dropExpired(now time.Time) {
+	for fingerprint, found := range s.counts {
+		if now.After(found.until) {
+			delete(s.counts, fingerprint)
+		}
+	}
+	for fingerprint := range s.counts {
+		if len(s.counts) < suspectsKept {
+			return
+		}
+		delete(s.counts, fingerprint)
+	}
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,407 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+const (
+	eventsKept       = 4096
+	kvBytesPerToken  = 4
+	twoVersionsLimit = 2
+)
+
+// EngineFaults are the faults of a model engine.
+type EngineFaults struct {
+	// SlowFactor multiplies the time of prefill and of each token.
+	SlowFactor float64 `json:"slowFactor"`
+	// Stall stops all tokens until it is cleared.
+	Stall bool `json:"stall"`
+	// CrashMarker crashes the engine when a prompt contains it.
+	CrashMarker string `json:"crashMarker"`
+	// CrashAfterTokens crashes the engine after that many more tokens.
+	CrashAfterTokens int `json:"crashAfterTokens"`
+	// DropEventEvery loses each n-th cache event.
+	DropEventEvery int `json:"dropEventEvery"`
+	// Leaving refuses new runs and finishes those that run.
+	Leaving bool `json:"leaving"`
+	// WrongAttempt marks each event with another attempt's number.
+	WrongAttempt bool `json:"wrongAttempt"`
+}
+
+// Engine stands in for a model engine: a batch of slots, serial prefill, a
+// limited prefix cache, late load reports and late cache events with gaps.
+type Engine struct {
+	Name          string
+	Clock         clock.Clock
+	Slots         int
+	PrefillRate   float64
+	TokenGap      time.Duration
+	CachePieces   int
+	LoadLag       time.Duration
+	EventLag      time.Duration
+	LoadTime      time.Duration
+	RestartAfter  time.Duration
+	ChecksFencing bool
+	Client        *http.Client
+
+	mu          sync.Mutex
+	faults      EngineFaults
+	incarnation int64
+	versions    map[string]bool
+	loading     int
+	fence       int64
+	running     int
+	waiting     []*engineRun
+	prefillFree time.Time
+	runs        map[string]context.CancelFunc
+	cache       map[string][]byte
+	cacheOrder  []string
+	events      []timedEvent
+	sequence    int64
+	reports     []timedReport
+	finished    int
+	listener    listener
+}
+
+type engineRun struct {
+	request *target.RunRequest
+	ready   chan struct{}
+}
+
+type timedEvent struct {
+	at    time.Time
+	event target.CacheEvent
+}
+
+type timedReport struct {
+	at     time.Time
+	report target.LoadReport
+}
+
+// Start resets the engine, loads the versions and listens at addr.
+func (e *Engine) Start(addr string, versions ...string) error {
+	e.mu.Lock()
+	e.reset()
+	for _, version := range versions {
+		e.versions[version] = true
+	}
+	e.listener.handler = e.handler()
+	e.mu.Unlock()
+	return e.listener.start(addr)
+}
+
+func (e *Engine) reset() {
+	e.incarnation++
+	e.versions = map[string]bool{}
+	e.runs = map[string]context.CancelFunc{}
+	e.cache = map[string][]byte{}
+	e.cacheOrder = nil
+	e.events = nil
+	e.waiting = nil
+	e.running = 0
+	e.reports = nil
+	e.prefillFree = time.Time{}
+}
+
+// URL returns where the engine listens.
+func (e *Engine) URL() string { return e.listener.url() }
+
+// Stop cuts every connection and stops listening.
+func (e *Engine) Stop() { e.listener.stop() }
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(faults EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+	e.record()
+}
+
+// Finished returns the number of answers given whole.
+func (e *Engine) Finished() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.finished
+}
+
+// crash loses all state, cuts every connection, and restarts after a while.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	versions := slices.Collect(maps.Keys(e.versions))
+	e.faults = EngineFaults{CrashMarker: e.faults.CrashMarker}
+	e.mu.Unlock()
+	go func() {
+		e.listener.stop()
+		<-e.Clock.After(e.RestartAfter)
+		if err := e.Start("", versions...); err != nil {
+			panic(err)
+		}
+	}()
+	panic(http.ErrAbortHandler)
+}
+
+func (e *Engine) handler() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run", e.serveRun)
+	mux.HandleFunc("POST /cancel", e.serveCancel)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("GET /cacheEvents", e.serveCacheEvents)
+	mux.HandleFunc("POST /versions", e.serveVersion)
+	mux.HandleFunc("POST /blocks/export", e.serveExport)
+	mux.HandleFunc("POST /blocks/import", e.serveImport)
+	return mux
+}
+
+func refuse(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, target.RefusalError{Code: code, Message: message, NotRun: true})
+}
+
+func (e *Engine) serveRun(w http.ResponseWriter, r *http.Request) {
+	var run target.RunRequest
+	if !readJSON(w, r, &run) {
+		return
+	}
+	if !e.accept(w, &run) {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	id := runKey(run.RequestID, run.Attempt)
+	e.mu.Lock()
+	e.runs[id] = cancel
+	e.mu.Unlock()
+	defer e.forget(id)
+	incarnation, entered := e.enter(ctx, &run)
+	if !entered {
+		return
+	}
+	defer e.leave(incarnation)
+	reused, wait := e.prefill(&run)
+	if clock.Sleep(ctx, e.Clock, wait) != nil {
+		return
+	}
+	e.store(run.PieceKeys)
+	e.generate(ctx, w, &run, reused)
+}
+
+func runKey(id string, attempt int) string { return id + "/" + strconv.Itoa(attempt) }
+
+func (e *Engine) forget(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.runs, id)
+}
+
+func (e *Engine) accept(w http.ResponseWriter, run *target.RunRequest) bool {
+	e.mu.Lock()
+	leaving := e.faults.Leaving
+	loaded := e.versions[run.Version]
+	marker := e.faults.CrashMarker
+	e.mu.Unlock()
+	if marker != "" && strings.Contains(run.Prompt, marker) {
+		e.crash()
+	}
+	if leaving {
+		refuse(w, http.StatusServiceUnavailable, target.CodeLeaving, e.Name+" is leaving")
+		return false
+	}
+	if !loaded {
+		refuse(w, http.StatusConflict, target.CodeVersionNotLoaded, run.Version+" is not loaded")
+		return false
+	}
+	return true
+}
+
+// enter waits for a slot. Higher priority goes first.
+func (e *Engine) enter(ctx context.Context, run *target.RunRequest) (incarnation int64, entered bool) {
+	e.mu.Lock()
+	incarnation = e.incarnation
+	if e.running < e.Slots && len(e.waiting) == 0 {
+		e.running++
+		e.record()
+		e.mu.Unlock()
+		return incarnation, true
+	}
+	entry := &engineRun{request: run, ready: make(chan struct{})}
+	e.waiting = append(e.waiting, entry)
+	slices.SortStableFunc(e.waiting, func(a, b *engineRun) int { return b.request.Priority - a.request.Priority })
+	e.record()
+	e.mu.Unlock()
+	select {
+	case <-entry.ready:
+		return incarnation, true
+	case <-ctx.Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if i := slices.Index(e.waiting, entry); i >= 0 {
+		e.waiting = slices.Delete(e.waiting, i, i+1)
+		return incarnation, false
+	}
+	e.leaveLocked(incarnation)
+	return incarnation, false
+}
+
+func (e *Engine) leave(incarnation int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaveLocked(incarnation)
+}
+
+// leaveLocked frees a slot, unless a restart has freed them all already.
+func (e *Engine) leaveLocked(incarnation int64) {
+	if incarnation != e.incarnation {
+		return
+	}
+	e.running--
+	if len(e.waiting) > 0 {
+		e.running++
+		close(e.waiting[0].ready)
+		e.waiting = e.waiting[1:]
+	}
+	e.record()
+}
+
+// prefill books the time to compute what the cache doesn't hold.
+func (e *Engine) prefill(run *target.RunRequest) (reused int, wait time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, key := range run.PieceKeys {
+		if _, cached := e.cache[key]; !cached {
+			break
+		}
+		reused += run.PieceTokens
+	}
+	tokens := float64(max(1, run.PromptTokens+run.DeliveredTokens-reused))
+	busy := time.Duration(tokens / e.PrefillRate * e.slow() * float64(time.Second))
+	now := e.Clock.Now()
+	start := now
+	if e.prefillFree.After(now) {
+		start = e.prefillFree
+	}
+	e.prefillFree = start.Add(busy)
+	return reused, e.prefillFree.Sub(now)
+}
+
+func (e *Engine) slow() float64 { return max(1, e.faults.SlowFactor) }
+
+func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, run *target.RunRequest, reused int) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	encoder := json.NewEncoder(w)
+	flusher, _ := w.(http.Flusher)
+	hash := PromptHash(run.Prompt)
+	for i := run.DeliveredTokens; i < run.MaxTokens; i++ {
+		if !e.pace(ctx) {
+			return
+		}
+		event := target.RunEvent{RequestID: run.RequestID, Attempt: e.attemptOf(run), Index: i}
+		event.Text = AnswerToken(hash, run.Version, i)
+		if encoder.Encode(event) != nil {
+			return
+		}
+		flusher.Flush()
+	}
+	last := target.RunEvent{RequestID: run.RequestID, Attempt: e.attemptOf(run), Index: run.MaxTokens, FinishReason: "stop", ReusedTokens: reused}
+	_ = encoder.Encode(last)
+	e.mu.Lock()
+	e.finished++
+	e.mu.Unlock()
+}
+
+func (e *Engine) attemptOf(run *target.RunRequest) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.WrongAttempt {
+		return run.Attempt + 1
+	}
+	return run.Attempt
+}
+
+// pace waits for the time of one token. It returns false when the run ends.
+func (e *Engine) pace(ctx context.Context) bool {
+	e.mu.Lock()
+	gap := time.Duration(float64(e.TokenGap) * e.slow())
+	crashing := e.faults.CrashAfterTokens == 1
+	if e.faults.CrashAfterTokens > 0 {
+		e.faults.CrashAfterTokens--
+	}
+	e.mu.Unlock()
+	if crashing {
+		e.crash()
+	}
+	if gap > 0 && clock.Sleep(ctx, e.Clock, gap) != nil {
+		return false
+	}
+	for e.stalled() {
+		if clock.Sleep(ctx, e.Clock, 10*time.Millisecond) != nil {
+			return false
+		}
+	}
+	return ctx.Err() == nil
+}
+
+func (e *Engine) stalled() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Stall
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		RequestID string `json:"requestId"`
+		Attempt   int    `json:"attempt"`
+	}
+	if !readJSON(w, r, &order) {
+		return
+	}
+	e.mu.Lock()
+	cancel := e.runs[runKey(order.RequestID, order.Attempt)]
+	e.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// record keeps the present load for a later report.
+func (e *Engine) record() {
+	report := target.LoadReport{
+		Running:     e.running,
+		Waiting:     len(e.waiting),
+		Versions:    slices.Sorted(maps.Keys(e.versions)),
+		Leaving:     e.faults.Leaving,
+		Incarnation: e.incarnation,
+	}
+	for _, entry := range e.waiting {
+		report.WaitingTokens += entry.request.PromptTokens
+	}
+	e.reports = append(e.reports, timedReport{at: e.Clock.Now(), report: report})
+	if len(e.reports) > eventsKept {
+		e.reports = e.reports[len(e.reports)-eventsKept:]
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	visible := e.Clock.Now().Add(-e.LoadLag)
+	report := target.LoadReport{Versions: slices.Sorted(maps.Keys(e.versions)), Incarnation: e.incarnation}
+	for _, timed := range e.reports {
+		if timed.at.After(visible) {
+			break
+		}
+		report = timed.report
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, report)
+}
--- /dev/null
+++ b/internal/standin/enginecache.go
@@ -0,0 +1,198 @@
+package standin
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+// store keeps the pieces of a prompt and drops the oldest beyond the limit.
+func (e *Engine) store(keys []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, key := range keys {
+		e.storeOne(key, kvBytes(key))
+	}
+}
+
+func (e *Engine) storeOne(key string, data []byte) {
+	if i := slices.Index(e.cacheOrder, key); i >= 0 {
+		e.cacheOrder = slices.Delete(e.cacheOrder, i, i+1)
+	} else {
+		e.emit(key, false)
+	}
+	e.cache[key] = data
+	e.cacheOrder = append(e.cacheOrder, key)
+	for len(e.cacheOrder) > e.CachePieces {
+		oldest := e.cacheOrder[0]
+		e.cacheOrder = e.cacheOrder[1:]
+		delete(e.cache, oldest)
+		e.emit(oldest, true)
+	}
+}
+
+// kvBytes makes up the cached state of a piece.
+func kvBytes(key string) []byte {
+	return bytes.Repeat([]byte(key), kvBytesPerToken)
+}
+
+func (e *Engine) emit(key string, removed bool) {
+	e.sequence++
+	if e.faults.DropEventEvery > 0 && e.sequence%int64(e.faults.DropEventEvery) == 0 {
+		return
+	}
+	event := target.CacheEvent{Sequence: e.sequence, Removed: removed, Key: key}
+	e.events = append(e.events, timedEvent{at: e.Clock.Now(), event: event})
+	if len(e.events) > eventsKept {
+		e.events = e.events[len(e.events)-eventsKept:]
+	}
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: want a sequence number", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	visible := e.Clock.Now().Add(-e.EventLag)
+	answer := target.CacheEvents{Incarnation: e.incarnation, Events: []target.CacheEvent{}}
+	for _, timed := range e.events {
+		if timed.event.Sequence > after && !timed.at.After(visible) {
+			answer.Events = append(answer.Events, timed.event)
+		}
+	}
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// fenced refuses an order that is older than one seen before, if the engine
+// checks fencing numbers.
+func (e *Engine) fenced(w http.ResponseWriter, fence int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ChecksFencing && fence < e.fence {
+		message := fmt.Sprintf("fencing number %d is older than %d", fence, e.fence)
+		refuse(w, http.StatusConflict, target.CodeStaleFence, message)
+		return false
+	}
+	e.fence = max(e.fence, fence)
+	return true
+}
+
+func (e *Engine) serveVersion(w http.ResponseWriter, r *http.Request) {
+	var order target.VersionOrder
+	if !readJSON(w, r, &order) || !e.fenced(w, order.Fence) {
+		return
+	}
+	e.mu.Lock()
+	e.loading++
+	wait := e.LoadTime
+	if e.loading > twoVersionsLimit {
+		wait *= 2
+	}
+	e.mu.Unlock()
+	if !order.Unload {
+		<-e.Clock.After(wait)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loading--
+	if order.Unload {
+		delete(e.versions, order.Version)
+	} else {
+		e.versions[order.Version] = true
+	}
+	e.record()
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveExport writes cached pieces to store hosts. Pieces that are no longer
+// cached are left out of the result.
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var order target.BlockOrder
+	if !readJSON(w, r, &order) || !e.fenced(w, order.Fence) {
+		return
+	}
+	result := target.BlockResult{Blocks: []target.Block{}}
+	for _, block := range order.Blocks {
+		e.mu.Lock()
+		data, cached := e.cache[block.Key]
+		e.mu.Unlock()
+		if !cached || e.putBlock(r, block, data) != nil {
+			continue
+		}
+		block.Length = int64(len(data))
+		block.Checksum = checksum(data)
+		result.Blocks = append(result.Blocks, block)
+	}
+	writeJSON(w, http.StatusOK, result)
+}
+
+func (e *Engine) putBlock(r *http.Request, block target.Block, data []byte) error {
+	request, err := http.NewRequestWithContext(r.Context(), http.MethodPut, blockURL(block), bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := e.Client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("writing block %s: status %d", block.Name, response.StatusCode)
+	}
+	return nil
+}
+
+// serveImport reads blocks from store hosts and checks each one.
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var order target.BlockOrder
+	if !readJSON(w, r, &order) || !e.fenced(w, order.Fence) {
+		return
+	}
+	result := target.BlockResult{Blocks: []target.Block{}}
+	for _, block := range order.Blocks {
+		data, err := e.getBlock(r, block)
+		if err != nil || int64(len(data)) != block.Length || checksum(data) != block.Checksum {
+			continue
+		}
+		e.mu.Lock()
+		e.storeOne(block.Key, data)
+		e.mu.Unlock()
+		result.Blocks = append(result.Blocks, block)
+	}
+	writeJSON(w, http.StatusOK, result)
+}
+
+func (e *Engine) getBlock(r *http.Request, block target.Block) ([]byte, error) {
+	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, blockURL(block), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := e.Client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("reading block %s: status %d", block.Name, response.StatusCode)
+	}
+	return io.ReadAll(response.Body)
+}
+
+func blockURL(block target.Block) string {
+	return fmt.Sprintf("%s/blocks/%s/%d?tier=%s", block.StoreURL, block.Name, block.Generation, block.Tier)
+}
+
+func checksum(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/standin/storehost.go
@@ -0,0 +1,163 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/store"
+)
+
+// StoreFaults are the faults of a store host.
+type StoreFaults struct {
+	// Full refuses writes.
+	Full bool `json:"full"`
+	// HalfWrite keeps only half of each block but reports success.
+	HalfWrite bool `json:"halfWrite"`
+	// DelayMillis delays every call.
+	DelayMillis int `json:"delayMillis"`
+	// DieMidWrite stops the host in the middle of the next block.
+	DieMidWrite bool `json:"dieMidWrite"`
+}
+
+// StoreHost stands in for a store host. Blocks and commit records are kept
+// apart, and nothing ties them together but the reader's checks.
+type StoreHost struct {
+	Name  string
+	Clock clock.Clock
+
+	mu       sync.Mutex
+	blocks   map[string][]byte
+	commits  map[string]store.Commit
+	faults   StoreFaults
+	listener listener
+}
+
+// Start empties the host and listens at addr.
+func (s *StoreHost) Start(addr string) error {
+	s.mu.Lock()
+	s.blocks = map[string][]byte{}
+	s.commits = map[string]store.Commit{}
+	s.mu.Unlock()
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /blocks/{name}/{generation}", s.delayed(s.servePutBlock))
+	mux.HandleFunc("GET /blocks/{name}/{generation}", s.delayed(s.serveGetBlock))
+	mux.HandleFunc("DELETE /blocks/{name}/{generation}", s.delayed(s.serveDeleteBlock))
+	mux.HandleFunc("PUT /commits/{name}", s.delayed(s.servePutCommit))
+	mux.HandleFunc("DELETE /commits/{name}", s.delayed(s.serveDeleteCommit))
+	mux.HandleFunc("GET /commits", s.delayed(s.serveListCommits))
+	s.listener.handler = mux
+	return s.listener.start(addr)
+}
+
+// URL returns where the store host listens.
+func (s *StoreHost) URL() string { return s.listener.url() }
+
+// Stop cuts every connection and stops listening.
+func (s *StoreHost) Stop() { s.listener.stop() }
+
+// SetFaults replaces the faults.
+func (s *StoreHost) SetFaults(faults StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// BlockCount returns the number of blocks held, whole or not.
+func (s *StoreHost) BlockCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.blocks)
+}
+
+func (s *StoreHost) delayed(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		delay := time.Duration(s.faults.DelayMillis) * time.Millisecond
+		s.mu.Unlock()
+		if delay > 0 {
+			<-s.Clock.After(delay)
+		}
+		next(w, r)
+	}
+}
+
+func blockKey(r *http.Request) string {
+	return r.PathValue("name") + "/" + r.PathValue("generation")
+}
+
+func (s *StoreHost) servePutBlock(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Full {
+		w.WriteHeader(http.StatusInsufficientStorage)
+		return
+	}
+	half := s.faults.HalfWrite || s.faults.DieMidWrite
+	if half {
+		data = data[:len(data)/2]
+	}
+	s.blocks[blockKey(r)] = data
+	if s.faults.DieMidWrite {
+		s.faults.DieMidWrite = false
+		go s.listener.stop()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *StoreHost) serveGetBlock(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	data, found := s.blocks[blockKey(r)]
+	s.mu.Unlock()
+	if !found {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (s *StoreHost) serveDeleteBlock(_ http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.blocks, blockKey(r))
+}
+
+func (s *StoreHost) servePutCommit(w http.ResponseWriter, r *http.Request) {
+	var commit store.Commit
+	if !readJSON(w, r, &commit) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Full {
+		w.WriteHeader(http.StatusInsufficientStorage)
+		return
+	}
+	s.commits[r.PathValue("name")] = commit
+}
+
+func (s *StoreHost) serveDeleteCommit(_ http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.commits, r.PathValue("name"))
+}
+
+func (s *StoreHost) serveListCommits(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	commits := make([]store.Commit, 0, len(s.commits))
+	for _, commit := range s.commits {
+		commits = append(commits, commit)
+	}
+	s.mu.Unlock()
+	slices.SortFunc(commits, func(a, b store.Commit) int { return strings.Compare(a.Name, b.Name) })
+	writeJSON(w, http.StatusOK, commits)
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,74 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+const maxAnswerBytes = 64 << 20
+
+// Client speaks HTTP with JSON to store hosts. All fields are set before the
+// first call.
+type Client struct {
+	HTTP    *http.Client
+	Timeout time.Duration
+}
+
+// Commits lists the commit records of a store host.
+func (c *Client) Commits(ctx context.Context, url string) ([]Commit, error) {
+	var commits []Commit
+	err := c.call(ctx, http.MethodGet, url+"/commits", nil, &commits)
+	return commits, err
+}
+
+// PutCommit writes the commit record that makes a block readable.
+func (c *Client) PutCommit(ctx context.Context, url string, commit Commit) error {
+	return c.call(ctx, http.MethodPut, url+"/commits/"+commit.Name, commit, nil)
+}
+
+// DeleteCommit withdraws a block, so that no new read begins.
+func (c *Client) DeleteCommit(ctx context.Context, url, name string) error {
+	return c.call(ctx, http.MethodDelete, url+"/commits/"+name, nil, nil)
+}
+
+// DeleteBlock frees the room of a block that was withdrawn.
+func (c *Client) DeleteBlock(ctx context.Context, url, name string, generation int64) error {
+	return c.call(ctx, http.MethodDelete, fmt.Sprintf("%s/blocks/%s/%d", url, name, generation), nil, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, url string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	var data []byte
+	if body != nil {
+		var err error
+		if data, err = json.Marshal(body); err != nil {
+			return fmt.Errorf("encoding commit record: %w", err)
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("calling store host: %w", err)
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return fmt.Errorf("calling store host: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
+		return fmt.Errorf("calling store host: status %d", response.StatusCode)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer); err != nil {
+		return fmt.Errorf("reading answer of store host: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/directory.go
@@ -0,0 +1,231 @@
+package store
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Directory holds the committed blocks of all store hosts as this host last
+// saw them, pins blocks that are being read, and plans which blocks to free.
+//
+// A block is freed in three steps: its commit record is deleted, the grace
+// passes, the block is deleted. A read may begin only within FreshFor after
+// its store host was listed and must end within ReadLimit, so with a grace
+// longer than both together no host reads a block that is gone.
+type Directory struct {
+	// FreshFor is how long a listing allows new reads.
+	FreshFor time.Duration
+	// ReadLimit is the longest time a read may take.
+	ReadLimit time.Duration
+	// Grace is the time between withdrawing and deleting a block.
+	Grace time.Duration
+
+	mu     sync.Mutex
+	stores map[string]*storeState
+}
+
+type storeState struct {
+	listedAt  time.Time
+	blocks    map[string]*blockState
+	byKey     map[string]string
+	bytes     int64
+	withdrawn []withdrawn
+}
+
+type blockState struct {
+	commit Commit
+	usedAt time.Time
+	pins   int
+}
+
+type withdrawn struct {
+	commit Commit
+	// at is when the commit record was gone; zero before that.
+	at time.Time
+}
+
+// Change tells that a store host holds a key, or no longer does.
+type Change struct {
+	Key     string
+	Removed bool
+}
+
+func (d *Directory) state(store string) *storeState {
+	if d.stores == nil {
+		d.stores = map[string]*storeState{}
+	}
+	s := d.stores[store]
+	if s == nil {
+		s = &storeState{blocks: map[string]*blockState{}, byKey: map[string]string{}}
+		d.stores[store] = s
+	}
+	return s
+}
+
+// Listed replaces what is known of a store host by its list of commit records
+// and returns what changed. at is when the list was asked for.
+func (d *Directory) Listed(at time.Time, store string, commits []Commit) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.state(store)
+	s.listedAt = at
+	listed := make(map[string]bool, len(commits))
+	var changes []Change
+	for _, commit := range commits {
+		listed[commit.Name] = true
+		if s.isWithdrawn(commit.Name) {
+			continue
+		}
+		if s.add(at, commit) {
+			changes = append(changes, Change{Key: commit.Key})
+		}
+	}
+	for name, block := range s.blocks {
+		if !listed[name] && block.usedAt.Before(at) && block.pins == 0 {
+			changes = append(changes, s.drop(name)...)
+		}
+	}
+	return changes
+}
+
+// Add notes a block that this host has just committed.
+func (d *Directory) Add(now time.Time, store string, commit Commit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state(store).add(now, commit)
+}
+
+// Pin finds the committed block of a key for a client account and version and
+// keeps it from being freed by this host until Unpin.
+func (d *Directory) Pin(now time.Time, store, key, account, version string) (Commit, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.state(store)
+	block := s.blocks[s.byKey[key]]
+	if block == nil || now.Sub(s.listedAt) > d.FreshFor {
+		return Commit{}, false
+	}
+	if block.commit.ClientAccount != account || block.commit.Version != version {
+		return Commit{}, false
+	}
+	block.pins++
+	block.usedAt = now
+	return block.commit, true
+}
+
+// Unpin ends a read.
+func (d *Directory) Unpin(store, name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if block := d.state(store).blocks[name]; block != nil && block.pins > 0 {
+		block.pins--
+	}
+}
+
+// Holds reports whether a store host has a committed block of a key.
+func (d *Directory) Holds(store, key string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.state(store).byKey[key]
+	return ok
+}
+
+// Bytes returns the room that committed blocks take on a store host.
+func (d *Directory) Bytes(store string) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state(store).bytes
+}
+
+// Withdraw takes the least recently used blocks without pins out of the
+// directory until a store host holds at most limit bytes. It returns the
+// blocks whose commit records must be deleted next, those of former calls that
+// were not confirmed included.
+func (d *Directory) Withdraw(store string, limit int64) []Commit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.state(store)
+	if s.bytes > limit {
+		s.withdrawOldest(limit)
+	}
+	var commits []Commit
+	for _, w := range s.withdrawn {
+		if w.at.IsZero() {
+			commits = append(commits, w.commit)
+		}
+	}
+	return commits
+}
+
+// Withdrawn notes that the commit record of a block is gone since now.
+func (d *Directory) Withdrawn(now time.Time, store, name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.state(store)
+	for i := range s.withdrawn {
+		if s.withdrawn[i].commit.Name == name {
+			s.withdrawn[i].at = now
+		}
+	}
+}
+
+func (s *storeState) withdrawOldest(limit int64) {
+	blocks := make([]*blockState, 0, len(s.blocks))
+	for _, block := range s.blocks {
+		if block.pins == 0 {
+			blocks = append(blocks, block)
+		}
+	}
+	slices.SortFunc(blocks, func(a, b *blockState) int { return a.usedAt.Compare(b.usedAt) })
+	for _, block := range blocks {
+		if s.bytes <= limit {
+			return
+		}
+		s.drop(block.commit.Name)
+		s.withdrawn = append(s.withdrawn, withdrawn{commit: block.commit})
+	}
+}
+
+// Deletable returns the withdrawn blocks whose grace has passed.
+func (d *Directory) Deletable(now time.Time, store string) []Commit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.state(store)
+	grace := max(d.Grace, d.FreshFor+d.ReadLimit)
+	var commits []Commit
+	s.withdrawn = slices.DeleteFunc(s.withdrawn, func(w withdrawn) bool {
+		if w.at.IsZero() || now.Sub(w.at) <= grace {
+			return false
+		}
+		commits = append(commits, w.commit)
+		return true
+	})
+	return commits
+}
+
+func (s *storeState) add(now time.Time, commit Commit) bool {
+	if known := s.blocks[commit.Name]; known != nil {
+		return false
+	}
+	s.blocks[commit.Name] = &blockState{commit: commit, usedAt: now}
+	s.bytes += commit.Length
+	_, had := s.byKey[commit.Key]
+	s.byKey[commit.Key] = commit.Name
+	return !had
+}
+
+func (s *storeState) drop(name string) []Change {
+	block := s.blocks[name]
+	delete(s.blocks, name)
+	s.bytes -= block.commit.Length
+	if s.byKey[block.commit.Key] != name {
+		return nil
+	}
+	delete(s.byKey, block.commit.Key)
+	return []Change{{Key: block.commit.Key, Removed: true}}
+}
+
+func (s *storeState) isWithdrawn(name string) bool {
+	return slices.ContainsFunc(s.withdrawn, func(w withdrawn) bool { return w.commit.Name == name })
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,13 @@
+// Command sassafrasplank places language-model jobs of many client accounts
+// onto shared engines and routes to plain services beside them.
+package main
+
+import (
+	"os"
+
+	"sassafrasplank.example/sassafrasplank/commands"
+)
+
+func main() {
+	os.Exit(commands.Execute(os.Args))
+}
--- /dev/null
+++ b/testscripts/script_test.go
@@ -0,0 +1,159 @@
+// Package testscripts runs the scenarios of the whole program.
+package testscripts
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"sassafrasplank.example/sassafrasplank/commands"
+)
+
+// waitLimit bounds a wait for a condition. It only ends a scenario that hangs.
+const waitLimit = 60 * time.Second
+
+var scripts atomic.Int64
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"sassafrasplank": func() { os.Exit(commands.Execute(os.Args)) },
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   ".",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"http":   cmdHTTP,
+			"until":  cmdUntil,
+			"config": cmdConfig,
+			"sleep":  cmdSleep,
+		},
+	})
+}
+
+// setup gives each scenario an IP number of its own, so that scenarios can use
+// fixed ports side by side.
+func setup(env *testscript.Env) error {
+	n := scripts.Add(1)
+	env.Setenv("IP", fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, n))
+	return nil
+}
+
+// cmdHTTP makes one call: http METHOD URL [-key KEY] [-idem KEY] [-body TEXT]
+// [-status N]. The answer becomes the standard output.
+func cmdHTTP(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: http METHOD URL [options]")
+	}
+	status, text, err := call(ts, args)
+	if err == nil {
+		_, _ = fmt.Fprintf(ts.Stdout(), "status %d\n%s\n", status, text)
+	}
+	ok := err == nil && status < http.StatusBadRequest
+	if ok == neg {
+		ts.Fatalf("http: status %d, error %v, answer %s", status, err, text)
+	}
+}
+
+func call(ts *testscript.TestScript, args []string) (int, string, error) {
+	options := map[string]string{}
+	for i := 2; i+1 < len(args); i += 2 {
+		options[args[i]] = args[i+1]
+	}
+	body := options["-body"]
+	if path := options["-file"]; path != "" {
+		body = ts.ReadFile(path)
+	}
+	if n, err := strconv.Atoi(options["-pad"]); err == nil {
+		body = strings.ReplaceAll(body, "PAD", strings.Repeat("x", n))
+	}
+	request, err := http.NewRequest(args[0], args[1], strings.NewReader(body))
+	ts.Check(err)
+	if key := options["-key"]; key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	if key := options["-idem"]; key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+// cmdUntil repeats a GET until it succeeds: until URL [TEXT] [-key KEY]. With
+// TEXT the answer must contain it; with ! it must fail or not contain it.
+func cmdUntil(ts *testscript.TestScript, neg bool, args []string) {
+	text := ""
+	if len(args) > 1 {
+		text = args[1]
+	}
+	options := append([]string{http.MethodGet, args[0]}, args[min(2, len(args)):]...)
+	deadline := time.Now().Add(waitLimit)
+	for time.Now().Before(deadline) {
+		status, answer, err := call(ts, options)
+		ok := err == nil && status == http.StatusOK && strings.Contains(answer, text)
+		if ok != neg {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	ts.Fatalf("until: %s %q: not within %s", args[0], text, waitLimit)
+}
+
+// cmdConfig writes the settings of an entry host: config FILE NAME DOMAIN LAST
+// [KEY=JSON...]. The host listens at the script's network with LAST as the last
+// part of its IP number.
+func cmdConfig(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 4 {
+		ts.Fatalf("usage: config FILE NAME DOMAIN LAST [KEY=JSON...]")
+	}
+	ip := ts.Getenv("IP")
+	host := ip[:strings.LastIndexByte(ip, '.')+1] + args[3]
+	var extra bytes.Buffer
+	for _, pair := range args[4:] {
+		key, value, _ := strings.Cut(pair, "=")
+		fmt.Fprintf(&extra, "  %q: %s,\n", key, value)
+	}
+	text := fmt.Sprintf(settings, args[1], args[2], host, ip, extra.String())
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+	ts.Setenv(strings.ToUpper(args[1]), host)
+}
+
+// settings holds the key "dev-operator" as its SHA-256.
+const settings = `{
+  // Settings of one entry host in a scenario.
+  "host": %[1]q,
+  "failureDomain": %[2]q,
+  "callers": {"listen": "%[3]s:8080", "streamIdle": "3s"},
+  "operators": {"listen": "%[3]s:8081", "keys": [
+    {"name": "anna", "sha256": "` + operatorHash + `"},
+  ]},
+  "platform": {"tableURL": "http://%[4]s:9000", "objectURL": "http://%[4]s:9000", "hostListURL": "http://%[4]s:9000", "callTimeout": "1s"},
+  "stopDelay": "100ms",
+%[5]s  "peers": {"listen": "%[3]s:8082", "interval": "200ms", "configPoll": "300ms", "suspectAfter": "2s", "cutOffAfter": "3s"},
+}
+`
+
+// cmdSleep waits for a fixed time where a scenario needs time to pass.
+func cmdSleep(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+const operatorHash = "c15de198d781469a78760f52482bac96c651dec77512c11657dcb336fa480ca0"
