Prove streams, refusals, planned stop and dying targets by scenarios

Cause: the path was shown only without faults. The scenarios found four faults: max_tokens -1 was taken as the default and run; a planned stop waited 15 min for a dead table service though a peer held the rows; a stalled engine held requests without a first token for ever once the hedge budget was spent; and a stall counted as a crash, so innocent requests were refused as suspects.

Ruled out: admission (12 runs stood in generate, none in the queue) and the stand-in (its goroutines were paused as told).

Conclusion: an attempt now ends for silence before its first token too, and only a broken connection makes a suspect.

--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -97,11 +97,15 @@
 	if len(request.Messages) == 0 {
 		return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "messages: at least one message is required")
 	}
+	maxTokens := request.MaxTokens
+	if request.MaxCompletionTokens != 0 {
+		maxTokens = request.MaxCompletionTokens
+	}
 	g := &dispatch.Generation{
 		Account:   accountOf(c),
 		Model:     request.Model,
 		Prompt:    ChatPrompt(request.Messages),
-		MaxTokens: max(request.MaxTokens, request.MaxCompletionTokens),
+		MaxTokens: maxTokens,
 	}
 	return s.generate(c, g, request.Stream, chatShape)
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -13,6 +13,10 @@
 // cancelTimeout bounds the order that cancels a losing attempt.
 const cancelTimeout = 2 * time.Second
 
+// excludeFor is how long targets tried before are left out when no other one is
+// to be had.
+const excludeFor = time.Second
+
 // attempt is one try of a request on one target.
 type attempt struct {
 	number   int
@@ -34,17 +38,19 @@
 // launch starts an attempt on the best target. It waits a while for a target
 // when there is none.
 func (r *run) launch(ctx context.Context) error {
-	until := r.d.Clock.Now().Add(r.d.Config.Admission.QueueWait.Duration)
+	begin := r.d.Clock.Now()
+	until := begin.Add(r.d.Config.Admission.QueueWait.Duration)
 	for {
 		started, reason := r.start(ctx, "place")
 		if started {
 			return nil
 		}
-		if len(r.request.Exclude) > 0 {
+		now := r.d.Clock.Now()
+		if now.Sub(begin) > excludeFor {
 			// The targets tried before are better than none.
 			r.request.Exclude = nil
 		}
-		if !r.d.Clock.Now().Before(until) {
+		if !now.Before(until) {
 			return r.fail(failure.NoTarget, "no target can run model %s version %s (%s)", r.request.Model, r.request.Version, reason)
 		}
 		if clock.Sleep(ctx, r.d.Clock, noTargetPause) != nil {
@@ -71,6 +77,7 @@
 	at.number = r.attempts
 	at.url = spec.URL
 	r.active[at.number] = at
+	r.d.count("attempts.started")
 	r.d.logPlacement(r, at, action)
 	ctx, at.cancel = context.WithCancel(ctx)
 	run := r.runRequest(at)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -76,6 +76,12 @@
 	Full() bool
 }
 
+// Refuser makes every host refuse a request that crashes targets.
+type Refuser interface {
+	// Refuse rules out a fingerprint until the given time.
+	Refuse(ctx context.Context, fingerprint, account string, until time.Time) error
+}
+
 // PeerProvider gives what the other entry hosts report.
 type PeerProvider interface {
 	// Hosts returns the number of live entry hosts, this one included.
@@ -103,6 +109,7 @@
 	Records     RecordProvider
 	Peers       PeerProvider
 	Ledger      LedgerWriter
+	Refuser     Refuser
 	Log         *log.Logger
 	Metrics     metrics.Registry
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -29,8 +29,17 @@
 	gapTokens = 8
 )
 
-// errCrossed says that a target sent an event of another request.
-var errCrossed = errors.New("event belongs to another attempt")
+// Causes for which this host itself ends an attempt. The target is alive.
+var (
+	errCrossed = errors.New("event belongs to another attempt")
+	errGap     = errors.New("tokens are missing")
+	errSilent  = errors.New("no token for too long")
+)
+
+// endedHere reports whether this host ended an attempt.
+func endedHere(err error) bool {
+	return errors.Is(err, errCrossed) || errors.Is(err, errGap) || errors.Is(err, errSilent)
+}
 
 // run is one request on its way through its attempts.
 type run struct {
@@ -133,7 +142,7 @@
 		return nil
 	}
 	if event.Index > r.tokens {
-		return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errors.New("tokens are missing")})
+		return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errGap})
 	}
 	now := r.d.Clock.Now()
 	if r.winner == nil {
@@ -199,7 +208,7 @@
 // complete takes in the last event of an answer.
 func (r *run) complete(ctx context.Context, at *attempt, event *target.RunEvent) error {
 	if event.Index != r.tokens {
-		return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errors.New("tokens are missing")})
+		return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errGap})
 	}
 	if r.winner == nil {
 		r.win(r.d.Clock.Now(), at)
@@ -220,10 +229,18 @@
 	now := r.d.Clock.Now()
 	if r.winner != nil {
 		silent := now.Sub(r.lastToken)
+		r.d.mu.Lock()
+		r.d.board.Silent(now, &r.winner.ticket, silent)
+		r.d.mu.Unlock()
 		if silent < r.d.Config.Callers.StreamIdle.Duration {
 			return nil
 		}
-		return r.attemptFailed(ctx, r.winner, &target.BrokenError{Sent: true, Err: errors.New("no token for " + silent.String())})
+		return r.attemptFailed(ctx, r.winner, &target.BrokenError{Sent: true, Err: errSilent})
+	}
+	for _, at := range r.active {
+		if now.Sub(at.ticket.PlacedAt) > r.firstTokenLimit(at) {
+			return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errSilent})
+		}
 	}
 	if r.wantsHedge(now) {
 		r.hedge(ctx)
@@ -231,6 +248,12 @@
 	return nil
 }
 
+// firstTokenLimit is how long an attempt may take to its first token.
+func (r *run) firstTokenLimit(at *attempt) time.Duration {
+	late := time.Duration(float64(at.ticket.ExpectedFirst) * r.d.Config.Slowness.HedgeRatio)
+	return max(r.d.Config.Callers.StreamIdle.Duration, late)
+}
+
 // wantsHedge reports whether the first token is late enough for a second
 // attempt, and notes the delay against the target.
 func (r *run) wantsHedge(now time.Time) bool {
@@ -273,6 +296,7 @@
 		return r.fail(failure.TargetFailed, "%v", err)
 	}
 	if r.proven() {
+		r.refuseEverywhere()
 		return r.fail(failure.CrashesTargets, "targets died while they ran this request; fingerprint %s", r.fingerprint)
 	}
 	if r.attempts >= maxAttempts || (!free && !r.spendRetry()) {
@@ -306,12 +330,13 @@
 			return refusal.Status >= http.StatusInternalServerError, refusal.NotRun
 		}
 	}
-	r.d.board.Unreachable(at.ticket.Target)
 	if target.NotRun(err) {
+		r.d.board.Unreachable(at.ticket.Target)
 		return true, true
 	}
 	r.sent = true
-	if !errors.Is(err, errCrossed) {
+	if !endedHere(err) {
+		r.d.board.Unreachable(at.ticket.Target)
 		r.d.suspects.Crashed(r.d.Clock.Now(), r.fingerprint)
 		r.request.Suspect = true
 	}
@@ -324,6 +349,27 @@
 	return r.d.suspects.Proven(r.d.Clock.Now(), r.fingerprint)
 }
 
+// refuseWithin bounds the write that makes all hosts refuse a request.
+const refuseWithin = 30 * time.Second
+
+// refuseEverywhere makes all hosts refuse the request. Peers learn of the
+// suspect by their reports as well, so a failed write is not fatal.
+func (r *run) refuseEverywhere() {
+	d := r.d
+	until := d.Clock.Now().Add(d.Config.Retries.SuspectFor.Duration).UTC()
+	d.Log.Warn().Str("part", "suspects").Str("requestId", r.id).Str("clientAccount", r.request.Account).
+		Str("fingerprint", r.fingerprint).Time("until", until).Msg("suspects: refuse request")
+	d.running.Add(1)
+	go func() {
+		defer d.running.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), refuseWithin)
+		defer cancel()
+		if err := d.Refuser.Refuse(ctx, r.fingerprint, r.request.Account, until); err != nil {
+			d.Log.Warn().Str("part", "suspects").Str("fingerprint", r.fingerprint).Err(err).Msg("suspects: refusal is not recorded")
+		}
+	}()
+}
+
 func (r *run) spendRetry() bool {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -48,6 +48,7 @@
 	platform   *platform.Client
 	group      *peer.Group
 	follower   *recordstore.Follower
+	records    *recordstore.Writer
 	writer     *ledger.Writer
 	desk       *booking.Desk
 	dispatcher *dispatch.Dispatcher
@@ -108,11 +109,11 @@
 }
 
 // flushLedger writes the counted placements. While the table service is down
-// it goes on trying until ctx ends; copies on a peer are then all that is left.
+// it goes on trying until a peer holds a copy of every row or ctx ends.
 func (h *Host) flushLedger(ctx context.Context) {
 	for {
 		err := h.writer.Flush(ctx)
-		if err == nil {
+		if err == nil || h.writer.Mirrored() {
 			return
 		}
 		if clock.Sleep(ctx, h.Clock, h.Config.Ledger.FlushEvery.Duration) != nil {
@@ -168,6 +169,8 @@
 		Stores:  &store.Client{HTTP: &http.Client{Transport: &http.Transport{}}, Timeout: targetTimeout},
 		Records: h.follower, Peers: h.group, Ledger: h.writer,
 	}
+	h.records = &recordstore.Writer{Table: h.platform, Follower: h.follower, Clock: h.Clock}
+	h.dispatcher.Refuser = &refuser{host: cfg.Host, writer: h.records}
 	h.dispatcher.Init()
 	h.group.Local = h.dispatcher
 	h.group.Records = h.follower
@@ -210,7 +213,7 @@
 	}
 	operators := &operator.Server{
 		Config: h.Config.Operators, Records: h.follower,
-		Writer: &recordstore.Writer{Table: h.platform, Follower: h.follower, Clock: h.Clock},
+		Writer: h.records,
 		Group:  h.group, Ledger: h.platform, Metrics: h.metrics, Ready: h.ready,
 	}
 	return []http.Handler{callers.Handler(), operators.Handler(), h.group.Handler()}
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -153,6 +153,14 @@
 	}
 }
 
+// Mirrored reports whether every row that waits has a copy on another host.
+func (w *Writer) Mirrored() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	unsafe := slices.ContainsFunc(w.sealed, func(b *Batch) bool { return !b.mirrored })
+	return len(w.open) == 0 && !unsafe
+}
+
 func (w *Writer) first() *Batch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// Silent notes that a stream has had no token for a while.
+func (b *Board) Silent(now time.Time, t *Ticket, silent time.Duration) {
+	expected := max(t.ExpectedGap, minimumExpected) * pendingFactor
+	if t.active && silent > expected {
+		b.engines[t.number].slow.ObservePending(now, silent, expected)
+	}
+}
+
 // Gap notes the mean time between tokens of a request since the last call.
 func (b *Board) Gap(now time.Time, t *Ticket, gap time.Duration) {
 	if t.active {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -71,6 +71,7 @@
 	sequence    int64
 	reports     []timedReport
 	finished    int
+	crashes     int
 	listener    listener
 }
 
@@ -135,10 +136,18 @@
 	return e.finished
 }
 
+// Crashes returns the number of crashes.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
 // crash loses all state, cuts every connection, and restarts after a while.
 func (e *Engine) crash() {
 	e.mu.Lock()
 	versions := slices.Collect(maps.Keys(e.versions))
+	e.crashes++
 	e.faults = EngineFaults{CrashMarker: e.faults.CrashMarker}
 	e.mu.Unlock()
 	go func() {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -206,14 +206,19 @@
 	Finished int `json:"finished"`
 	Bookings int `json:"bookings"`
 	Blocks   int `json:"blocks"`
-	Reads    int `json:"reads"`
-	Commits  int `json:"commits"`
+	// Crashes counts the crashes of all engines.
+	Crashes int `json:"crashes"`
+	Reads   int `json:"reads"`
+	Commits int `json:"commits"`
 }
 
 func (w *World) serveState(rw http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("name")
 	state := State{Bookings: w.Docks.Bookings()}
 	state.Reads, state.Commits = w.Platform.Counts()
+	for _, e := range w.Engines {
+		state.Crashes += e.Crashes()
+	}
 	if e := w.engine(name); e != nil {
 		state.Finished = e.Finished()
 	}
--- a/testscripts/script_test.go
+++ b/testscripts/script_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -19,7 +20,7 @@
 )
 
 // waitLimit bounds a wait for a condition. It only ends a scenario that hangs.
-const waitLimit = 60 * time.Second
+const waitLimit = 25 * time.Second
 
 var scripts atomic.Int64
 
@@ -95,24 +96,24 @@
 	return response.StatusCode, string(data), err
 }
 
-// cmdUntil repeats a GET until it succeeds: until URL [TEXT] [-key KEY]. With
-// TEXT the answer must contain it; with ! it must fail or not contain it.
+// cmdUntil repeats a GET until it succeeds: until URL [PATTERN] [-key KEY]. The
+// answer must match the pattern; with ! the call must fail or not match.
 func cmdUntil(ts *testscript.TestScript, neg bool, args []string) {
-	text := ""
+	pattern := regexp.MustCompile("")
 	if len(args) > 1 {
-		text = args[1]
+		pattern = regexp.MustCompile(args[1])
 	}
 	options := append([]string{http.MethodGet, args[0]}, args[min(2, len(args)):]...)
 	deadline := time.Now().Add(waitLimit)
 	for time.Now().Before(deadline) {
 		status, answer, err := call(ts, options)
-		ok := err == nil && status == http.StatusOK && strings.Contains(answer, text)
+		ok := err == nil && status == http.StatusOK && pattern.MatchString(answer)
 		if ok != neg {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	ts.Fatalf("until: %s %q: not within %s", args[0], text, waitLimit)
+	ts.Fatalf("until: %s %s: not within %s", args[0], pattern, waitLimit)
 }
 
 // cmdConfig writes the settings of an entry host: config FILE NAME DOMAIN LAST
@@ -145,6 +146,7 @@
   ]},
   "platform": {"tableURL": "http://%[4]s:9000", "objectURL": "http://%[4]s:9000", "hostListURL": "http://%[4]s:9000", "callTimeout": "1s"},
   "stopDelay": "100ms",
+  "stopWithin": "15s",
 %[5]s  "peers": {"listen": "%[3]s:8082", "interval": "200ms", "configPoll": "300ms", "suspectAfter": "2s", "cutOffAfter": "3s"},
 }
 `
