--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -11,10 +11,17 @@
 type Params struct {
 	// QueuePerAccount bounds the waiting requests of one client account.
 	QueuePerAccount int
+	// ReservePercent is the share of the capacity that only accounts within
+	// their fair share may use.
+	ReservePercent float64
 	// LongPercent is the share of the capacity that long requests may hold.
 	LongPercent float64
 }
 
+// patience is the part of the time to its deadline that a job may be expected
+// to wait. The rest is for the error of the estimate.
+const patience = 0.5
+
 // Job is one request that waits for admission or runs.
 type Job struct {
 	Account string
@@ -133,7 +140,7 @@
 	}
 	if q.running >= q.capacity {
 		wait := q.expectedWait(now, a)
-		if now.Add(wait).After(job.Deadline) {
+		if wait.Seconds() > patience*job.Deadline.Sub(now).Seconds() {
 			return &Refusal{Reason: RefusedDeadline, RetryAfter: wait}
 		}
 	}
@@ -153,6 +160,9 @@
 	var best *account
 	var bestJob *Job
 	for _, a := range q.accounts {
+		if q.inReserve() && !q.withinShare(a, 1) {
+			continue
+		}
 		job := q.firstAllowed(now, a)
 		if job != nil && (bestJob == nil || before(job, bestJob)) {
 			best, bestJob = a, job
@@ -206,21 +216,26 @@
 		q.long++
 	}
 	job.admitted = true
-	job.priority = q.withinShare(a)
+	job.priority = q.withinShare(a, 0)
 	q.virtual = max(q.virtual, job.tag-job.Work/a.weight)
 	q.rate.note(now)
 }
 
-// withinShare reports whether an account holds no more than its weight's part
-// of the capacity among the accounts that have work.
-func (q *Queue) withinShare(a *account) bool {
+// inReserve reports whether only the reserved part of the capacity is free.
+func (q *Queue) inReserve() bool {
+	return float64(q.running) >= float64(q.capacity)*(1-q.params.ReservePercent/100)
+}
+
+// withinShare reports whether an account with further more jobs holds no more
+// than its weight's part of the capacity among the accounts that have work.
+func (q *Queue) withinShare(a *account, further int) bool {
 	total := 0.0
 	for _, other := range q.accounts {
 		if other.running > 0 || len(other.waiting) > 0 {
 			total += other.weight
 		}
 	}
-	return float64(a.running) <= float64(q.capacity)*a.weight/total
+	return float64(a.running+further) <= float64(q.capacity)*a.weight/total
 }
 
 // Done ends an admitted job. The actual work corrects the account's share.
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -69,6 +69,7 @@
 	k.positive(float64(c.Placement.IndexEntries), "/placement/indexEntries", "entries")
 	k.positive(float64(c.Peers.FanOut), "/peers/fanOut", "peers")
 	k.positive(float64(c.Ledger.BatchRows), "/ledger/batchRows", "rows")
+	k.percent(c.Admission.ReservePercent, "/admission/reservePercent")
 	k.percent(c.Slowness.HedgePercent, "/slowness/hedgePercent")
 	k.percent(c.Retries.BudgetPercent, "/retries/budgetPercent")
 	k.percent(c.Retention.LinkSharePercent, "/retention/linkSharePercent")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,9 @@
 type Admission struct {
 	QueuePerAccount int      `json:"queuePerAccount"`
 	QueueWait       Duration `json:"queueWait"`
+	// ReservePercent is the share of the capacity that only client accounts
+	// within their fair share may use.
+	ReservePercent float64 `json:"reservePercent"`
 	// FillFactor is the number of requests in flight per engine slot.
 	FillFactor float64 `json:"fillFactor"`
 }
@@ -189,7 +192,8 @@
 		Admission: Admission{
 			QueuePerAccount: 256,
 			QueueWait:       Of(20 * time.Second),
-			FillFactor:      1.25,
+			FillFactor:      1,
+			ReservePercent:  6,
 		},
 		Placement: Placement{
 			LoadPoll:        Of(500 * time.Millisecond),
@@ -199,7 +203,7 @@
 			RandomCount:     8,
 			IndexEntries:    50_000,
 			LongTokens:      4096,
-			LongSlotPercent: 40,
+			LongSlotPercent: 50,
 			WarmUp:          Of(10 * time.Second),
 			LeaveWithin:     Of(3 * time.Second),
 		},
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -24,8 +24,6 @@
 	ticket   placement.Ticket
 	decision placement.Decision
 	cancel   context.CancelFunc
-	gapFrom  time.Time
-	gapCount int
 }
 
 // attemptEvent is what an attempt tells its run.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -150,12 +150,11 @@
 		WarmUp:          cfg.Placement.WarmUp.Duration,
 		SlowRatio:       cfg.Slowness.SlowRatio,
 		ProbeEvery:      cfg.Slowness.ProbeEvery.Duration,
-		WorkWeight:      placement.DefaultWorkWeight,
-		LinkWeight:      placement.DefaultLinkWeight,
 		Seed:            d.rng.Uint64(),
 	})
 	d.queue = admission.NewQueue(admission.Params{
 		QueuePerAccount: cfg.Admission.QueuePerAccount,
+		ReservePercent:  cfg.Admission.ReservePercent,
 		LongPercent:     cfg.Placement.LongSlotPercent,
 	})
 	d.ready = map[*admission.Job]chan struct{}{}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -25,8 +25,6 @@
 	streamTick = 500 * time.Millisecond
 	// noTargetPause is the time between two tries to find a target.
 	noTargetPause = 50 * time.Millisecond
-	// gapTokens is the number of tokens over which the gap is averaged.
-	gapTokens = 8
 )
 
 // Causes for which this host itself ends an attempt. The target is alive.
@@ -156,7 +154,7 @@
 	}
 	r.text.WriteString(event.Text)
 	r.tokens++
-	r.measureGap(now, at)
+	r.measure(now, at)
 	if err := r.sink.Token(event.Text); err != nil {
 		return r.fail(failure.DeadlineExceeded, "the caller went away: %v", err)
 	}
@@ -173,7 +171,6 @@
 func (r *run) win(now time.Time, at *attempt) {
 	r.winner = at
 	r.lastToken = now
-	at.gapFrom = now
 	r.d.mu.Lock()
 	r.d.board.FirstToken(now, &at.ticket)
 	r.d.mu.Unlock()
@@ -184,20 +181,13 @@
 	}
 }
 
-// measureGap compares the gap between tokens with the target's usual one, and
-// corrects the length estimate of a request that runs on.
-func (r *run) measureGap(now time.Time, at *attempt) {
+// measure compares the tokens of the target with those expected, and corrects
+// the length estimate of a request that runs on.
+func (r *run) measure(now time.Time, at *attempt) {
 	r.lastToken = now
-	at.gapCount++
-	if at.gapCount < gapTokens {
-		return
-	}
-	gap := now.Sub(at.gapFrom) / gapTokens
-	at.gapCount = 0
-	at.gapFrom = now
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
-	r.d.board.Gap(now, &at.ticket, gap)
+	r.d.board.Tokens(now, &at.ticket, 1)
 	if r.tokens > r.d.Config.Placement.LongTokens && !r.request.Long {
 		r.request.Long = true
 		r.d.board.MarkLong(&at.ticket)
@@ -254,24 +244,17 @@
 	return max(r.d.Config.Callers.StreamIdle.Duration, late)
 }
 
-// wantsHedge reports whether the first token is late enough for a second
-// attempt, and notes the delay against the target.
+// wantsHedge reports whether a second attempt is due and allowed.
 func (r *run) wantsHedge(now time.Time) bool {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
-	late := false
+	due := false
 	for _, at := range r.active {
-		r.d.board.Pending(now, &at.ticket)
-		expected := max(at.ticket.ExpectedFirst, minimumHedgeWait)
-		limit := time.Duration(float64(expected) * r.d.Config.Slowness.HedgeRatio)
-		late = now.Sub(at.ticket.PlacedAt) > limit
+		due = r.d.board.HedgeDue(now, &at.ticket, r.d.Config.Slowness.HedgeRatio)
 	}
-	return late && len(r.active) == 1 && r.attempts < maxAttempts && r.d.hedges.Spend()
+	return due && len(r.active) == 1 && r.attempts < maxAttempts && r.d.hedges.Spend()
 }
 
-// minimumHedgeWait bounds from below the expected time that is compared.
-const minimumHedgeWait = 30 * time.Millisecond
-
 // hedge starts a second attempt on another target, if there is one.
 func (r *run) hedge(ctx context.Context) {
 	r.d.count("attempts.hedges")
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -30,19 +30,9 @@
 	WarmUp          time.Duration
 	SlowRatio       float64
 	ProbeEvery      time.Duration
-	// WorkWeight is the weight of the prefill time that a choice costs others.
-	WorkWeight float64
-	// LinkWeight is the weight of the transfer time that a choice costs others.
-	LinkWeight float64
-	Seed       uint64
+	Seed            uint64
 }
 
-// DefaultWorkWeight and DefaultLinkWeight suit both deployments.
-const (
-	DefaultWorkWeight = 0.5
-	DefaultLinkWeight = 0.25
-)
-
 // Board holds what one entry host knows of the engines and the store links.
 type Board struct {
 	params  Params
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -92,13 +92,14 @@
 	Target        string
 	PlacedAt      time.Time
 	ExpectedFirst time.Duration
-	ExpectedGap   time.Duration
+	TokenGap      time.Duration
 	Long          bool
 	Suspect       bool
 
 	number     int32
 	prefill    float64
 	prefilling bool
+	decoding   bool
 	active     bool
 }
 
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -64,6 +64,7 @@
 	jobTime       time.Duration
 
 	slow      slowness.Tracker
+	tokens    slowness.TokenRate
 	candidate uint64
 }
 
@@ -87,6 +88,9 @@
 // slowness returns the score of the engine by this host's and its peers'
 // measurements.
 func (e *engine) slowness(now time.Time) float64 {
+	if ratio, ok := e.tokens.Window(now, e.spec.TokenGap); ok {
+		e.slow.ObserveRate(now, ratio)
+	}
 	return max(e.slow.Score(now), 1+(e.peerSlow-1)*peerTrust)
 }
 
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -154,7 +154,6 @@
 	}
 	local := float64(req.PromptTokens-reused) / e.spec.PrefillRate
 	est.Prefill = local * slow
-	est.Penalty = b.params.WorkWeight * local
 	if l != nil && storePieces*b.params.PieceTokens > reused {
 		b.considerImport(now, &est, e, req, storePieces, l)
 	}
@@ -177,7 +176,6 @@
 	with.Import = l.transferTime(now, bytes)
 	with.Prefill = rest * est.Slowness
 	with.ImportedTokens = imported
-	with.Penalty = b.params.WorkWeight*rest + b.params.LinkWeight*bytes/l.spec.BytesPerSecond
 	if with.Total() < est.Total() {
 		*est = with
 	}
--- /dev/null
+++ b/internal/placement/policy_test.go
@@ -0,0 +1,229 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+)
+
+var policies = []string{"ours", "leastLoaded", "roundRobin"}
+
+func report(b *testing.B, f figures) {
+	b.Helper()
+	b.ReportMetric(f.p50, "ttft-p50-ms")
+	b.ReportMetric(f.p95, "ttft-p95-ms")
+	b.ReportMetric(f.p99, "ttft-p99-ms")
+	b.ReportMetric(f.recomputed, "recomputed-%")
+	b.ReportMetric(f.link, "link-%")
+	b.ReportMetric(f.refused, "refused-%")
+	b.ReportMetric(f.extra, "extra-work-%")
+	b.ReportMetric(0, "ns/op")
+}
+
+func eachPolicy(b *testing.B, run func(b *testing.B, d deployment, name string)) {
+	b.Helper()
+	for _, d := range deployments {
+		for _, name := range policies {
+			b.Run(fmt.Sprintf("deployment=%s/policy=%s", d.name, name), func(b *testing.B) {
+				for range b.N {
+					run(b, d, name)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkReturn(b *testing.B) {
+	eachPolicy(b, func(b *testing.B, d deployment, name string) {
+		_, f := runPolicy(d, returnScenario(d), name, knobs{})
+		report(b, f)
+	})
+}
+
+func BenchmarkCrest(b *testing.B) {
+	eachPolicy(b, func(b *testing.B, d deployment, name string) {
+		w, _ := runPolicy(d, crestScenario(d), name, knobs{})
+		report(b, w.figures(between(crestFrom+2*time.Second, crestEnd, true)))
+	})
+}
+
+func BenchmarkHeadOfLine(b *testing.B) {
+	eachPolicy(b, func(b *testing.B, d deployment, name string) {
+		w, _ := runPolicy(d, headOfLineScenario(d, true), name, knobs{})
+		report(b, w.figures(onlyShort))
+	})
+}
+
+func BenchmarkSlowTarget(b *testing.B) {
+	eachPolicy(b, func(b *testing.B, d deployment, name string) {
+		_, f := runPolicy(d, slowScenario(d, true), name, knobs{})
+		report(b, f)
+	})
+}
+
+// atMost checks a figure against a stated target.
+func atMost(t *testing.T, what string, got, limit float64) {
+	t.Helper()
+	t.Logf("%s: %.3f, target at most %.3f", what, got, limit)
+	if got > limit {
+		t.Errorf("%s: got %.3f, want at most %.3f", what, got, limit)
+	}
+}
+
+func atLeast(t *testing.T, what string, got, limit float64) {
+	t.Helper()
+	t.Logf("%s: %.3f, target at least %.3f", what, got, limit)
+	if got < limit {
+		t.Errorf("%s: got %.3f, want at least %.3f", what, got, limit)
+	}
+}
+
+func TestReturnTargets(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			_, mine := runPolicy(d, returnScenario(d), "ours", knobs{})
+			_, base := runPolicy(d, returnScenario(d), "leastLoaded", knobs{})
+			t.Logf("ours %+v, leastLoaded %+v", mine, base)
+			atMost(t, "p50 first token of leastLoaded", mine.p50/base.p50, 0.35)
+			atMost(t, "recomputed of leastLoaded", mine.recomputed/base.recomputed, 0.3)
+			atMost(t, "link use in per cent", mine.link, 80)
+		})
+	}
+}
+
+func TestCrestTargets(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			w, _ := runPolicy(d, crestScenario(d), "ours", knobs{})
+			calm := w.figures(between(10*time.Second, crestFrom, true))
+			crest := w.figures(between(crestFrom+2*time.Second, crestEnd, true))
+			whole := w.figures(between(crestFrom+2*time.Second, crestEnd, false))
+			after := w.figures(between(crestEnd+5*time.Second, crestEnd+time.Minute, true))
+			t.Logf("calm %+v, crest %+v, whole %+v, after %+v", calm, crest, whole, after)
+			atMost(t, "other accounts' p95 of calm", crest.p95/calm.p95, 1.25)
+			atMost(t, "other accounts' refusals in per cent", crest.refused, 0)
+			atLeast(t, "goodput of capacity", whole.goodput/crestCapacity(d), 0.95)
+			atMost(t, "p95 after the crest of calm", after.p95/calm.p95, 1.25)
+		})
+	}
+}
+
+func TestHeadOfLineTargets(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			mixed, _ := runPolicy(d, headOfLineScenario(d, true), "ours", knobs{})
+			alone, _ := runPolicy(d, headOfLineScenario(d, false), "ours", knobs{})
+			base, _ := runPolicy(d, headOfLineScenario(d, true), "leastLoaded", knobs{})
+			t.Logf("mixed %+v, alone %+v, leastLoaded %+v", mixed.figures(onlyShort), alone.figures(onlyShort), base.figures(onlyShort))
+			atMost(t, "short p99 of the load without long ones", mixed.figures(onlyShort).p99/alone.figures(onlyShort).p99, 1.5)
+			atMost(t, "long mean of leastLoaded", mixed.figures(onlyLong).meanTotal/base.figures(onlyLong).meanTotal, 1.3)
+		})
+	}
+}
+
+func TestSlowTargetTargets(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			_, slowed := runPolicy(d, slowScenario(d, true), "ours", knobs{})
+			_, none := runPolicy(d, slowScenario(d, false), "ours", knobs{})
+			_, base := runPolicy(d, slowScenario(d, true), "leastLoaded", knobs{})
+			t.Logf("slowed %+v, none %+v, leastLoaded slowed %+v", slowed, none, base)
+			atMost(t, "p99 of the run with none slowed", slowed.p99/none.p99, 1.3)
+			atMost(t, "extra work in per cent", slowed.extra, 5)
+		})
+	}
+}
+
+// BenchmarkAblation switches one mechanism off at a time.
+func BenchmarkAblation(b *testing.B) {
+	others := between(crestFrom+2*time.Second, crestEnd, true)
+	rows := []struct {
+		name    string
+		make    func(d deployment) scenario
+		counted func(*result) bool
+		knobs   map[string]knobs
+	}{
+		{"return", returnScenario, nil, map[string]knobs{"none": {}, "import": {noImport: true}, "reuse": {noReuse: true}, "hedge": {noHedge: true}}},
+		{"crest", crestScenario, others, map[string]knobs{"none": {}, "fairShare": {noShare: true}, "reserve": {noReserve: true}, "priority": {noPriority: true}}},
+		{"headOfLine", func(d deployment) scenario { return headOfLineScenario(d, true) }, onlyShort, map[string]knobs{"none": {}, "longCap": {noLongCap: true}, "priority": {noPriority: true}}},
+		{"slowTarget", func(d deployment) scenario { return slowScenario(d, true) }, nil, map[string]knobs{"none": {}, "hedge": {noHedge: true}, "tokenRate": {noRate: true}}},
+	}
+	for _, row := range rows {
+		for _, d := range deployments {
+			for without, k := range row.knobs {
+				b.Run(fmt.Sprintf("scenario=%s/deployment=%s/without=%s", row.name, d.name, without), func(b *testing.B) {
+					for range b.N {
+						w, _ := runPolicy(d, row.make(d), "ours", k)
+						report(b, w.figures(row.counted))
+					}
+				})
+			}
+		}
+	}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{12, 800, 12_000} {
+		b.Run(fmt.Sprintf("candidates=%d", n), func(b *testing.B) {
+			board := placement.NewBoard(placement.Params{
+				PreferredCount: 8, RandomCount: 8, PieceTokens: fakePieceTokens, IndexEntries: 100_000,
+				LongSlotPercent: 40, SlowRatio: 2, Seed: 1,
+			})
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			var specs []placement.EngineSpec
+			for i := range n {
+				specs = append(specs, placement.EngineSpec{Name: engineName(i), Models: []string{fakeModel}, Slots: fakeSlots, PrefillRate: fakeRate, TokenGap: fakeGap})
+			}
+			board.SetEngines(now, specs)
+			for i := range n {
+				board.Report(now, engineName(i), placement.LoadReport{Versions: []string{fakeVersion}, Incarnation: 1})
+			}
+			var requests []placement.Request
+			for i := range 256 {
+				requests = append(requests, placement.Request{
+					ID: "r", Account: "orders", Model: fakeModel, Version: fakeVersion, PromptTokens: 20_000,
+					AnswerTokens: 100, Chain: fakeChain("orders", i, 10),
+				})
+			}
+			var decision placement.Decision
+			for i := range requests {
+				board.Place(now, &requests[i], &decision)
+				ticket := board.Start(now, &requests[i], &decision)
+				board.Finish(now, &ticket)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				board.Place(now, &requests[i%len(requests)], &decision)
+			}
+		})
+	}
+}
+
+// Placement must not cross accounts or versions: equal prompts of different
+// accounts share no key.
+func TestChainKeepsAccountsApart(t *testing.T) {
+	prompt := string(make([]byte, 3*fakePieceTokens*prefix.BytesPerToken))
+	seeds := map[string]prefix.Key{
+		"account": prefix.Seed("claims", "letters", "letters-v1"),
+		"model":   prefix.Seed("orders", "notes", "letters-v1"),
+		"version": prefix.Seed("orders", "letters", "letters-v2"),
+		"border":  prefix.Seed("ordersl", "etters", "letters-v1"),
+	}
+	own := prefix.Chain(nil, prefix.Seed("orders", "letters", "letters-v1"), prompt, fakePieceTokens)
+	for name, seed := range seeds {
+		other := prefix.Chain(nil, seed, prompt, fakePieceTokens)
+		for i := range own {
+			if own[i] == other[i] {
+				t.Errorf("another %s shares the key of piece %d", name, i)
+			}
+		}
+	}
+}
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -20,7 +20,7 @@
 		Target:        d.Target,
 		PlacedAt:      now,
 		ExpectedFirst: time.Duration(d.Chosen.FirstToken() / d.Chosen.Slowness * float64(time.Second)),
-		ExpectedGap:   e.spec.TokenGap,
+		TokenGap:      e.spec.TokenGap,
 		Long:          req.Long,
 		Suspect:       req.Suspect,
 		number:        e.number,
@@ -54,32 +54,44 @@
 	e := b.engines[t.number]
 	b.endPrefill(e, t)
 	b.clearSuspect(e, t)
+	t.decoding = true
+	e.tokens.Streams(now, e.spec.TokenGap, 1)
 	e.slow.Observe(now, now.Sub(t.PlacedAt), max(t.ExpectedFirst, minimumExpected))
 }
 
-// Pending notes that a request still waits for its first token.
-func (b *Board) Pending(now time.Time, t *Ticket) {
+// HedgeDue reports whether a request waits so long for its first token that a
+// second attempt is worth its cost: ratio times the expected time, or just the
+// expected time once its target is found to be slowed.
+func (b *Board) HedgeDue(now time.Time, t *Ticket, ratio float64) bool {
 	if !t.active || !t.prefilling {
-		return
+		return false
+	}
+	e := b.engines[t.number]
+	expected := max(t.ExpectedFirst, minimumExpected)
+	elapsed := now.Sub(t.PlacedAt)
+	if elapsed > expected*pendingFactor {
+		e.slow.ObservePending(now, elapsed, expected)
 	}
-	expected := max(t.ExpectedFirst, minimumExpected) * pendingFactor
-	if elapsed := now.Sub(t.PlacedAt); elapsed > expected {
-		b.engines[t.number].slow.ObservePending(now, elapsed, expected)
+	if e.slowness(now) >= b.params.SlowRatio {
+		ratio = 1
 	}
+	return elapsed > time.Duration(float64(expected)*ratio)
 }
 
 // Silent notes that a stream has had no token for a while.
 func (b *Board) Silent(now time.Time, t *Ticket, silent time.Duration) {
-	expected := max(t.ExpectedGap, minimumExpected) * pendingFactor
+	expected := max(t.TokenGap, minimumExpected) * pendingFactor
 	if t.active && silent > expected {
 		b.engines[t.number].slow.ObservePending(now, silent, expected)
 	}
 }
 
-// Gap notes the mean time between tokens of a request since the last call.
-func (b *Board) Gap(now time.Time, t *Ticket, gap time.Duration) {
+// Tokens notes that a request has delivered n more tokens.
+func (b *Board) Tokens(now time.Time, t *Ticket, n int) {
 	if t.active {
-		b.engines[t.number].slow.Observe(now, gap, t.ExpectedGap)
+		e := b.engines[t.number]
+		e.tokens.Tokens(n)
+		e.slowness(now)
 	}
 }
 
@@ -100,6 +112,10 @@
 	e := b.engines[t.number]
 	b.endPrefill(e, t)
 	e.inFlight--
+	if t.decoding {
+		t.decoding = false
+		e.tokens.Streams(now, e.spec.TokenGap, -1)
+	}
 	b.clearSuspect(e, t)
 	if t.Long {
 		e.long--
--- /dev/null
+++ b/internal/placement/workload_test.go
@@ -0,0 +1,284 @@
+package placement_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+)
+
+// scenario is a workload with the part of it that is measured.
+type scenario struct {
+	cacheSize int
+	arrivals  []*arrival
+	from      time.Duration
+	end       time.Duration
+	// disturb schedules slowed engines and the like.
+	disturb func(w *world)
+	// counted selects the results that the figures are taken from.
+	counted func(r *result) bool
+}
+
+// figures are what the benchmarks report. Times are in milliseconds.
+type figures struct {
+	p50, p95, p99 float64
+	recomputed    float64
+	link          float64
+	refused       float64
+	extra         float64
+	// goodput is the rate of answers in their deadline, a second.
+	goodput float64
+	// meanTotal is the mean time to the last token.
+	meanTotal float64
+	n         int
+}
+
+func runPolicy(d deployment, s scenario, name string, k knobs) (*world, figures) {
+	w := newWorld(d, s.cacheSize)
+	w.countFrom = s.from
+	var p policy
+	if name == "ours" {
+		p = newOurs(w, k)
+	} else {
+		p = newBaseline(w, name)
+	}
+	if s.disturb != nil {
+		s.disturb(w)
+	}
+	w.run(p, s.arrivals, s.end)
+	return w, w.figures(s.counted)
+}
+
+func (w *world) figures(counted func(r *result) bool) figures {
+	var f figures
+	var firsts []float64
+	refused, good, all := 0, 0, 0
+	total := 0.0
+	var from, to time.Duration
+	for _, r := range w.results {
+		if r.arrival.at < w.countFrom || (counted != nil && !counted(r)) {
+			continue
+		}
+		if all == 0 {
+			from = r.arrival.at
+		}
+		to = max(to, r.arrival.at)
+		all++
+		if r.refused {
+			refused++
+			continue
+		}
+		first := r.first
+		if first == 0 {
+			first = w.clock.now.Sub(w.start) - r.arrival.at
+		}
+		firsts = append(firsts, first.Seconds()*1000)
+		if r.answered {
+			total += r.total.Seconds() * 1000
+			f.n++
+		}
+		if r.answered && r.first <= r.arrival.deadline {
+			good++
+		}
+	}
+	slices.Sort(firsts)
+	f.p50, f.p95, f.p99 = quantile(firsts, 0.5), quantile(firsts, 0.95), quantile(firsts, 0.99)
+	f.recomputed = 100 * float64(w.recomputed) / float64(max(1, w.promptTokens))
+	busy := time.Duration(0)
+	for _, l := range w.links {
+		busy += l.busy
+	}
+	f.link = 100 * busy.Seconds() / (float64(len(w.links)) * w.clock.now.Sub(w.start).Seconds())
+	f.refused = 100 * float64(refused) / float64(max(1, all))
+	f.extra = 100 * float64(w.extra) / float64(max(1, w.requests))
+	f.goodput = float64(good) / max(0.001, (to-from).Seconds())
+	f.meanTotal = total / float64(max(1, f.n))
+	return f
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+func sortArrivals(arrivals []*arrival) []*arrival {
+	slices.SortStableFunc(arrivals, func(a, b *arrival) int { return int(a.at - b.at) })
+	return arrivals
+}
+
+// returnScenario has prompts that return after gaps with a heavy tail, from
+// seconds to a day. The engines hold about a tenth of them.
+func returnScenario(d deployment) scenario {
+	const (
+		end          = 75 * time.Minute
+		from         = 45 * time.Minute
+		sessionRate  = 0.24
+		medianGap    = 300.0
+		sigmaGap     = 1.6
+		firstPieces  = 5
+		mostPieces   = 16
+		answerTokens = 60
+	)
+	rng := seededRand(1)
+	var arrivals []*arrival
+	sessions := int(sessionRate * float64(d.engines) * 900)
+	for n := range sessions {
+		account := fmt.Sprintf("account-%d", n%10)
+		at := rng.Float64() * end.Seconds()
+		pieces := firstPieces + rng.IntN(mostPieces-firstPieces)
+		chain := fakeChain(account, n, mostPieces+24)
+		for pieces < len(chain) && at < end.Seconds() {
+			arrivals = append(arrivals, &arrival{
+				at: seconds(at), account: account, chain: chain[:pieces], prompt: pieces*fakePieceTokens + 300,
+				answer: answerTokens, maxTokens: 2 * answerTokens, deadline: 20 * time.Second,
+			})
+			at += math.Min(86400, math.Exp(math.Log(medianGap)+sigmaGap*rng.NormFloat64()))
+			pieces++
+		}
+	}
+	cache := sessions * (firstPieces + mostPieces) / 2 / 10 / d.engines
+	return scenario{cacheSize: cache, arrivals: sortArrivals(arrivals), from: from, end: end}
+}
+
+func fakeChain(account string, session, pieces int) []prefix.Key {
+	chain := make([]prefix.Key, pieces)
+	link := prefix.Seed(account, fakeModel, fakeVersion)
+	for i := range chain {
+		link = prefix.Seed(account, link.String(), fmt.Sprint(session, i))
+		chain[i] = link
+	}
+	return chain
+}
+
+// poisson appends arrivals of one account at a rate a second.
+func poisson(arrivals []*arrival, seed uint64, from, to time.Duration, rate float64, make func() *arrival) []*arrival {
+	rng := seededRand(seed)
+	for at := from.Seconds() + rng.ExpFloat64()/rate; at < to.Seconds(); at += rng.ExpFloat64() / rate {
+		a := make()
+		a.at = seconds(at)
+		arrivals = append(arrivals, a)
+	}
+	return arrivals
+}
+
+const (
+	crestPrompt   = 500
+	crestAnswer   = 60
+	crestFrom     = 60 * time.Second
+	crestEnd      = 120 * time.Second
+	crestDeadline = 2 * time.Second
+	largeAccount  = "account-0"
+)
+
+// crestCapacity is the most jobs a second that the engines can answer.
+func crestCapacity(d deployment) float64 {
+	hold := crestAnswer*fakeGap.Seconds() + crestPrompt/float64(fakeRate)
+	return float64(d.engines*fakeSlots) / hold
+}
+
+// crestScenario rises fivefold in two seconds, one account tenfold. The others
+// stay within their shares. The demand then lies a tenth above the capacity.
+func crestScenario(d deployment) scenario {
+	capacity := crestCapacity(d)
+	calm := 1.1 * capacity / 5
+	large := calm * 0.3
+	small := (calm - large) / 9
+	smallCrest := (5*calm - 10*large) / 9
+	var arrivals []*arrival
+	for n := range 10 {
+		account := fmt.Sprintf("account-%d", n)
+		before, crest := small, smallCrest
+		if account == largeAccount {
+			before, crest = large, 10*large
+		}
+		create := func() *arrival {
+			return &arrival{account: account, prompt: crestPrompt, answer: crestAnswer, maxTokens: 2 * crestAnswer, deadline: crestDeadline}
+		}
+		seed := uint64(100 + n)
+		arrivals = poisson(arrivals, seed, 0, crestFrom, before, create)
+		arrivals = poisson(arrivals, seed+20, crestFrom, crestFrom+time.Second, (before+crest)/2, create)
+		arrivals = poisson(arrivals, seed+40, crestFrom+time.Second, crestEnd, crest, create)
+		arrivals = poisson(arrivals, seed+60, crestEnd, crestEnd+time.Minute, before, create)
+	}
+	return scenario{cacheSize: 1000, arrivals: sortArrivals(arrivals), from: 10 * time.Second, end: crestEnd + 70*time.Second}
+}
+
+// between selects results of a phase; others leaves out the large account.
+func between(from, to time.Duration, others bool) func(*result) bool {
+	return func(r *result) bool {
+		return r.arrival.at >= from && r.arrival.at < to && (!others || r.arrival.account != largeAccount)
+	}
+}
+
+// headOfLineScenario mixes short jobs with 3% that run fifty times longer.
+func headOfLineScenario(d deployment, long bool) scenario {
+	const (
+		end         = 600 * time.Second
+		shortAnswer = 50
+		longAnswer  = 50 * shortAnswer
+		shortPrompt = 400
+		longPrompt  = 8000
+		longShare   = 0.03
+	)
+	// Short jobs take a third of the slots, long ones nearly a half.
+	hold := shortAnswer*fakeGap.Seconds() + shortPrompt/float64(fakeRate)
+	rate := 0.31 * float64(d.engines*fakeSlots) / hold
+	var arrivals []*arrival
+	for n := range 10 {
+		account := fmt.Sprintf("account-%d", n)
+		arrivals = poisson(arrivals, uint64(200+n), 0, end, rate/10, func() *arrival {
+			return &arrival{account: account, prompt: shortPrompt, answer: shortAnswer, maxTokens: 100, deadline: 20 * time.Second}
+		})
+		if !long {
+			continue
+		}
+		arrivals = poisson(arrivals, uint64(300+n), 0, end, rate*longShare/10, func() *arrival {
+			return &arrival{account: account, prompt: longPrompt, answer: longAnswer, maxTokens: 4096, long: true, deadline: 60 * time.Second}
+		})
+	}
+	return scenario{cacheSize: 1000, arrivals: sortArrivals(arrivals), from: 60 * time.Second, end: end + 120*time.Second}
+}
+
+func onlyShort(r *result) bool { return !r.arrival.long }
+func onlyLong(r *result) bool  { return r.arrival.long }
+
+// slowScenario slows two engines tenfold for seconds at a time.
+func slowScenario(d deployment, slowed bool) scenario {
+	const (
+		end    = 300 * time.Second
+		prompt = 1500
+		answer = 60
+	)
+	hold := answer*fakeGap.Seconds() + prompt/float64(fakeRate)
+	rate := 0.33 * float64(d.engines*fakeSlots) / hold
+	var arrivals []*arrival
+	for n := range 10 {
+		account := fmt.Sprintf("account-%d", n)
+		arrivals = poisson(arrivals, uint64(400+n), 0, end, rate/10, func() *arrival {
+			return &arrival{account: account, prompt: prompt, answer: answer, maxTokens: 100, deadline: 20 * time.Second}
+		})
+	}
+	s := scenario{cacheSize: 1000, arrivals: sortArrivals(arrivals), from: 20 * time.Second, end: end + 30*time.Second}
+	if slowed {
+		s.disturb = slowTwo
+	}
+	return s
+}
+
+func slowTwo(w *world) {
+	rng := seededRand(500)
+	for at := 20.0; at < 300; {
+		slow := 2 + 4*rng.Float64()
+		first := rng.IntN(len(w.engines))
+		second := (first + 1 + rng.IntN(len(w.engines)-1)) % len(w.engines)
+		for _, i := range []int{first, second} {
+			w.clock.after(seconds(at), func() { w.engines[i].slow = 10 })
+			w.clock.after(seconds(at+slow), func() { w.engines[i].slow = 1 })
+		}
+		at += slow + 2 + 4*rng.Float64()
+	}
+}
--- a/internal/slowness/tracker.go
+++ b/internal/slowness/tracker.go
@@ -9,6 +9,8 @@
 const (
 	// sampleWeight is the weight of one new sample in the moving average.
 	sampleWeight = 0.25
+	// rateWeight is the weight of one window of tokens.
+	rateWeight = 0.5
 	// recoverHalfLife is the time in which an unconfirmed score loses half of
 	// its distance from one.
 	recoverHalfLife = 3 * time.Second
@@ -34,6 +36,13 @@
 	t.sampleAt = now
 }
 
+// ObserveRate adds the ratio of expected to delivered tokens in one window over
+// all streams of the target. It counts more than the time of one request.
+func (t *Tracker) ObserveRate(now time.Time, ratio float64) {
+	t.score = t.Score(now)*(1-rateWeight) + min(max(1, ratio), maxScore)*rateWeight
+	t.sampleAt = now
+}
+
 // ObservePending adds what is known of work that isn't finished: the time is
 // at least elapsed. It only raises the score.
 func (t *Tracker) ObservePending(now time.Time, elapsed, expected time.Duration) {
