--- /dev/null
+++ b/internal/booking/desk_test.go
@@ -0,0 +1,170 @@
+package booking_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+	"pgregory.net/rapid"
+
+	"sassafrasplank.example/sassafrasplank/internal/booking"
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/standin"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+// service is the plain service behind the desks. It counts what really ran.
+type service struct {
+	ran    map[string]int
+	number int
+}
+
+// callOutcome is what becomes of one call to the service.
+type callOutcome int
+
+const (
+	callAnswered callOutcome = iota
+	callNotReached
+	callAnswerLost
+	callHostDies
+)
+
+// hostDied stands for the death of the host in the middle of a call.
+type hostDied struct{}
+
+func (s *service) call(key string, outcome callOutcome) (target.ServiceAnswer, error) {
+	switch outcome {
+	case callNotReached:
+		return target.ServiceAnswer{}, failure.NotRun(503, failure.NoTarget, "not reached")
+	case callAnswerLost:
+		s.run(key)
+		return target.ServiceAnswer{}, failure.MaybeRun(failure.MayHaveRun, "answer lost")
+	case callHostDies:
+		panic(hostDied{})
+	case callAnswered:
+	}
+	return s.run(key), nil
+}
+
+func (s *service) run(key string) target.ServiceAnswer {
+	s.ran[key]++
+	s.number++
+	return target.ServiceAnswer{Status: 201, Body: fmt.Appendf(nil, `{"number":%d}`, s.number)}
+}
+
+func newDesks(c *clock.Skipping, next func() standin.Outcome, n int) []*booking.Desk {
+	platform := standin.NewPlatform(c)
+	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	var desks []*booking.Desk
+	for i := range n {
+		desks = append(desks, &booking.Desk{
+			Host: fmt.Sprintf("host-%d", i), Table: &standin.DirectTable{Platform: platform, Next: next},
+			Clock: c, Log: quiet, KeepFor: 7 * 24 * time.Hour,
+		})
+	}
+	return desks
+}
+
+// book books once and tells whether the host died on the way.
+func book(d *booking.Desk, r *booking.Request, s *service, outcome callOutcome) (answer target.ServiceAnswer, err error, died bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			if _, ok := cause.(hostDied); !ok {
+				panic(cause)
+			}
+			died = true
+		}
+	}()
+	answer, err = d.Book(context.Background(), r, func(context.Context) (target.ServiceAnswer, error) {
+		return s.call(r.Key, outcome)
+	})
+	return answer, err, false
+}
+
+// A booking runs at most once for its key whatever fails between two steps, a
+// refusal that says "not run" is true, and a repeated answer is the same.
+func TestBookingRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &clock.Skipping{}
+		c.Advance(time.Hour)
+		faulty := rapid.SampledFrom([]standin.Outcome{
+			standin.Answered, standin.Answered, standin.Answered, standin.Refused, standin.AnswerLost, standin.RequestLost,
+		})
+		desks := newDesks(c, func() standin.Outcome { return faulty.Draw(t, "table") }, 3)
+		s := &service{ran: map[string]int{}}
+		answers := map[string]string{}
+		for range rapid.IntRange(20, 60).Draw(t, "steps") {
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			desk := rapid.SampledFrom(desks).Draw(t, "host")
+			outcome := rapid.SampledFrom([]callOutcome{callAnswered, callNotReached, callAnswerLost, callHostDies}).Draw(t, "call")
+			before := s.ran[key]
+			answer, err, died := book(desk, &booking.Request{Account: "orders", Service: "docks", Key: key, Content: []byte("body")}, s, outcome)
+			_ = desk.Drain(context.Background())
+			if s.ran[key] > 1 {
+				t.Fatalf("key %s ran %d times", key, s.ran[key])
+			}
+			if died {
+				continue
+			}
+			if err != nil && failure.From(err).NotRun && s.ran[key] != before {
+				t.Fatalf("key %s ran, but the answer says not run: %v", key, err)
+			}
+			if err != nil {
+				continue
+			}
+			if known, ok := answers[key]; ok && known != string(answer.Body) {
+				t.Fatal(cmp.Diff(known, string(answer.Body)))
+			}
+			answers[key] = string(answer.Body)
+		}
+	})
+}
+
+func TestBookingOutcomes(t *testing.T) {
+	c := &clock.Skipping{}
+	desks := newDesks(c, nil, 2)
+	s := &service{ran: map[string]int{}}
+	request := func(key, body string) *booking.Request {
+		return &booking.Request{Account: "orders", Service: "docks", Key: key, Content: []byte(body)}
+	}
+	steps := []struct {
+		name    string
+		host    int
+		request *booking.Request
+		call    callOutcome
+		want    string
+		code    failure.Code
+		notRun  bool
+	}{
+		{name: "first", request: request("a", "x"), want: `{"number":1}`},
+		{name: "again on another host", host: 1, request: request("a", "x"), want: `{"number":1}`},
+		{name: "another body", request: request("a", "y"), code: failure.KeyReused, notRun: true},
+		{name: "not reached", request: request("b", "x"), call: callNotReached, code: failure.NoTarget, notRun: true},
+		{name: "not reached, again", host: 1, request: request("b", "x"), want: `{"number":2}`},
+		{name: "answer lost", request: request("c", "x"), call: callAnswerLost, code: failure.MayHaveRun},
+		{name: "answer lost, again", host: 1, request: request("c", "x"), code: failure.MayHaveRun},
+		{name: "host dies", request: request("d", "x"), call: callHostDies},
+		{name: "host dies, again", host: 1, request: request("d", "x"), code: failure.MayHaveRun},
+	}
+	for _, step := range steps {
+		answer, err, died := book(desks[step.host], step.request, s, step.call)
+		if died {
+			continue
+		}
+		if diff := cmp.Diff(step.want, string(answer.Body)); diff != "" {
+			t.Errorf("%s: answer (-want +got):\n%s", step.name, diff)
+		}
+		if step.code == "" {
+			continue
+		}
+		got := failure.From(err)
+		if got.Code != step.code || got.NotRun != step.notRun {
+			t.Errorf("%s: got %s, not run %t; want %s, %t", step.name, got.Code, got.NotRun, step.code, step.notRun)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/writer_test.go
@@ -0,0 +1,141 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+	"pgregory.net/rapid"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/standin"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// keeper is a peer that holds copies of batches.
+type keeper struct {
+	batches map[string]*ledger.Batch
+	down    bool
+}
+
+func (k *keeper) Keep(_ context.Context, batch *ledger.Batch) error {
+	if k.down {
+		return errors.New("peer is down")
+	}
+	k.batches[batch.Key()] = batch
+	return nil
+}
+
+func (k *keeper) Release(_ context.Context, batch *ledger.Batch) { delete(k.batches, batch.Key()) }
+
+func newWriter(host string, incarnation int64, table ledger.Table, mirror ledger.Mirror) *ledger.Writer {
+	return &ledger.Writer{
+		Host: host, Incarnation: incarnation, Table: table, Clock: &clock.Skipping{}, FlushEvery: time.Second,
+		BatchRows: 5, BufferRows: 1000, Mirror: mirror, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+	}
+}
+
+// Every placement that was flushed, or mirrored before its host died, is
+// counted once, whatever answers are lost and however often batches are
+// written.
+func TestPlacementsAreCountedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		platform := standin.NewPlatform(&clock.Skipping{})
+		faulty := rapid.SampledFrom([]standin.Outcome{standin.Answered, standin.Refused, standin.AnswerLost, standin.RequestLost})
+		table := &standin.DirectTable{Platform: platform, Next: func() standin.Outcome { return faulty.Draw(t, "table") }}
+		whole := &standin.DirectTable{Platform: platform}
+		peer := &keeper{batches: map[string]*ledger.Batch{}}
+		ctx := context.Background()
+		want := 0
+		for incarnation := range int64(3) {
+			w := newWriter("one", incarnation+1, table, peer)
+			for i := range rapid.IntRange(1, 20).Draw(t, "rows") {
+				w.Add(ledger.Row{RequestID: fmt.Sprint(incarnation, "-", i), ClientAccount: "orders", Model: "letters", PromptTokens: 1})
+				want++
+				if rapid.Bool().Draw(t, "flush") {
+					_ = w.Flush(ctx)
+				}
+			}
+			// The host dies once all it counted is written or mirrored.
+			for w.Flush(ctx) != nil && !w.Mirrored() {
+				continue
+			}
+			for range 2 {
+				for _, batch := range peer.batches {
+					if err := ledger.WriteBatch(ctx, whole, batch); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		}
+		report, err := ledger.Sum(ctx, whole)
+		if err != nil {
+			t.Fatal(err)
+		}
+		wantTotals := []ledger.Total{{ClientAccount: "orders", Model: "letters", Placements: want, PromptTokens: want}}
+		if diff := cmp.Diff(wantTotals, report.Totals); diff != "" || report.Repeated != 0 {
+			t.Fatalf("totals (-want +got):\n%srepeated %d", diff, report.Repeated)
+		}
+	})
+}
+
+// Rows are bounded in memory during an outage, and none is lost.
+func TestOutageIsBounded(t *testing.T) {
+	platform := standin.NewPlatform(&clock.Skipping{})
+	down := true
+	table := &standin.DirectTable{Platform: platform, Next: func() standin.Outcome {
+		if down {
+			return standin.Refused
+		}
+		return standin.Answered
+	}}
+	w := newWriter("one", 1, table, nil)
+	w.BufferRows = 12
+	ctx := context.Background()
+	for i := 0; !w.Full(); i++ {
+		w.Add(ledger.Row{RequestID: fmt.Sprint(i), ClientAccount: "orders", Model: "letters"})
+	}
+	if err := w.Flush(ctx); err == nil || w.Buffered() != 12 {
+		t.Fatalf("got error %v, %d rows; want an error and 12 rows", err, w.Buffered())
+	}
+	down = false
+	if err := w.Flush(ctx); err != nil || w.Buffered() != 0 || w.Full() {
+		t.Fatalf("got error %v, %d rows; want all rows written", err, w.Buffered())
+	}
+	report, err := ledger.Sum(ctx, table)
+	if err != nil || len(report.Totals) != 1 || report.Totals[0].Placements != 12 {
+		t.Fatalf("got report %+v, error %v; want 12 placements", report, err)
+	}
+}
+
+// BenchmarkWrites gives the commits that a thousand placements cost when each
+// flush finds the given number of rows.
+func BenchmarkWrites(b *testing.B) {
+	for _, perFlush := range []int{1, 33, 512} {
+		b.Run(fmt.Sprintf("rows=%d", perFlush), func(b *testing.B) {
+			platform := standin.NewPlatform(&clock.Skipping{})
+			w := newWriter("one", 1, &standin.DirectTable{Platform: platform}, nil)
+			w.BatchRows = 512
+			for i := range b.N {
+				w.Add(ledger.Row{RequestID: fmt.Sprint(i), ClientAccount: "orders", Model: "letters", At: time.Unix(0, 0)})
+				if (i+1)%perFlush == 0 {
+					_ = w.Flush(context.Background())
+				}
+			}
+			_, commits := platform.Counts()
+			b.ReportMetric(1000*float64(commits)/float64(b.N), "commits/1000-placements")
+		})
+	}
+}
