Prove several hosts under kills, pauses and platform outages

Cause: configuration, bookings, ledger and cache blocks were proved one by one; the whole program over two and three hosts was not.

Found: a host was ready before it had asked its targets for their load, so the first call to a plain service was refused (bookings.txtar, status 503 noTarget). It is now unready until then, and a call waits up to 1 s for a target.

--- a/commands/root.go
+++ b/commands/root.go
@@ -63,6 +63,7 @@
 			newCheck(),
 			newRecord(),
 			newLoad(),
+			newBook(),
 			newVersion(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/booking/desk_test.go
+++ b/internal/booking/desk_test.go
@@ -71,7 +71,7 @@
 }
 
 // book books once and tells whether the host died on the way.
-func book(d *booking.Desk, r *booking.Request, s *service, outcome callOutcome) (answer target.ServiceAnswer, err error, died bool) {
+func book(d *booking.Desk, r *booking.Request, s *service, outcome callOutcome) (answer target.ServiceAnswer, died bool, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			if _, ok := cause.(hostDied); !ok {
@@ -83,7 +83,7 @@
 	answer, err = d.Book(context.Background(), r, func(context.Context) (target.ServiceAnswer, error) {
 		return s.call(r.Key, outcome)
 	})
-	return answer, err, false
+	return answer, false, err
 }
 
 // A booking runs at most once for its key whatever fails between two steps, a
@@ -103,7 +103,7 @@
 			desk := rapid.SampledFrom(desks).Draw(t, "host")
 			outcome := rapid.SampledFrom([]callOutcome{callAnswered, callNotReached, callAnswerLost, callHostDies}).Draw(t, "call")
 			before := s.ran[key]
-			answer, err, died := book(desk, &booking.Request{Account: "orders", Service: "docks", Key: key, Content: []byte("body")}, s, outcome)
+			answer, died, err := book(desk, &booking.Request{Account: "orders", Service: "docks", Key: key, Content: []byte("body")}, s, outcome)
 			_ = desk.Drain(context.Background())
 			if s.ran[key] > 1 {
 				t.Fatalf("key %s ran %d times", key, s.ran[key])
@@ -152,7 +152,7 @@
 		{name: "host dies, again", host: 1, request: request("d", "x"), code: failure.MayHaveRun},
 	}
 	for _, step := range steps {
-		answer, err, died := book(desks[step.host], step.request, s, step.call)
+		answer, died, err := book(desks[step.host], step.request, s, step.call)
 		if died {
 			continue
 		}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -133,6 +133,7 @@
 	sequence   atomic.Int64
 	running    sync.WaitGroup
 	stopping   bool
+	watched    atomic.Bool
 }
 
 // Init prepares the decision state. It must be called once before any other
--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -125,6 +125,9 @@
 		d.count("retention.exportFailed")
 		return
 	}
+	if len(result.Blocks) < len(order.Blocks) {
+		d.count("retention.exportShort")
+	}
 	for i := range result.Blocks {
 		d.commitBlock(ctx, f, plan, host.URL, &result.Blocks[i])
 	}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -60,7 +60,7 @@
 	}
 	sent := false
 	for attempt := 1; ; attempt++ {
-		answer, name, err := d.callOnce(ctx, req, call, attempt)
+		answer, name, err := d.callPatiently(ctx, req, call, attempt)
 		if err == nil {
 			d.Ledger.Add(ledger.Row{
 				RequestID: id, ClientAccount: call.Account, Model: req.Model, Target: name, At: d.Clock.Now(),
@@ -97,6 +97,23 @@
 	return clock.Sleep(ctx, d.Clock, delay) == nil
 }
 
+// callPatiently waits a while for a target when there is none.
+func (d *Dispatcher) callPatiently(ctx context.Context, req *placement.Request, call *ServiceCall, attempt int) (target.ServiceAnswer, string, error) {
+	until := d.Clock.Now().Add(serviceTargetWait)
+	for {
+		answer, name, err := d.callOnce(ctx, req, call, attempt)
+		if !errors.Is(err, errNoServiceTarget) || !d.Clock.Now().Before(until) {
+			return answer, name, err
+		}
+		if clock.Sleep(ctx, d.Clock, noTargetPause) != nil {
+			return answer, name, err
+		}
+	}
+}
+
+// serviceTargetWait is how long a call waits for a target of its service.
+const serviceTargetWait = time.Second
+
 var errNoServiceTarget = errors.New("no target offers the service now")
 
 // callOnce places a call and sends it once.
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -70,8 +70,15 @@
 		})
 	}
 	_ = group.Wait()
+	if set.Revision > 0 {
+		d.watched.Store(true)
+	}
 }
 
+// Watched reports whether the targets of the records have been asked for their
+// load once.
+func (d *Dispatcher) Watched() bool { return d.watched.Load() }
+
 func (d *Dispatcher) watchLoad(ctx context.Context, name string, t *record.Target) {
 	report := placement.LoadReport{Versions: []string{serviceVersion}}
 	if t.Kind == record.TargetEngine {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -135,7 +135,7 @@
 
 // ready reports whether the balancer may send requests to this host.
 func (h *Host) ready() bool {
-	return !h.stopping.Load() && h.follower.Defensible()
+	return !h.stopping.Load() && h.follower.Defensible() && h.dispatcher.Watched()
 }
 
 func (h *Host) build(peers net.Addr) {
@@ -171,6 +171,8 @@
 	}
 	h.records = &recordstore.Writer{Table: h.platform, Follower: h.follower, Clock: h.Clock}
 	h.dispatcher.Refuser = &refuser{host: cfg.Host, writer: h.records}
+	_ = h.metrics.Register("ledger.kept", metrics.NewFunctionalGauge(h.group.KeptRows))
+	_ = h.metrics.Register("ledger.buffered", metrics.NewFunctionalGauge(func() int64 { return int64(h.writer.Buffered()) }))
 	h.dispatcher.Init()
 	h.group.Local = h.dispatcher
 	h.group.Records = h.follower
--- /dev/null
+++ b/internal/entry/host_test.go
@@ -0,0 +1,214 @@
+package entry_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"go.uber.org/goleak"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/config"
+	"sassafrasplank.example/sassafrasplank/internal/entry"
+	"sassafrasplank.example/sassafrasplank/internal/load"
+	"sassafrasplank.example/sassafrasplank/internal/standin"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+// site is a world of stand-ins with one entry host in this process.
+type site struct {
+	world *standin.World
+	url   string
+	stop  func()
+}
+
+func startSite(tb testing.TB, tune func(*standin.World)) *site {
+	tb.Helper()
+	standins, endStandins := context.WithCancel(context.Background())
+	world := standin.NewWorld(clock.System{})
+	if tune != nil {
+		tune(world)
+	}
+	if err := world.Start(standins, "127.0.0.1:0", "127.0.0.1"); err != nil {
+		tb.Fatal(err)
+	}
+	cfg := config.Default()
+	cfg.Host, cfg.FailureDomain = "one", "west"
+	cfg.Callers.Listen, cfg.Operators.Listen, cfg.Peers.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Platform.TableURL, cfg.Platform.ObjectURL, cfg.Platform.HostListURL = world.PlatformURL(), world.PlatformURL(), world.PlatformURL()
+	cfg.Placement.WarmUp, cfg.StopDelay = config.Of(0), config.Of(0)
+	serving := make(chan [2]net.Addr, 1)
+	host := &entry.Host{
+		Config: cfg, Clock: clock.System{}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Serving: func(callers, operators net.Addr) { serving <- [2]net.Addr{callers, operators} },
+	}
+	stop, end := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- host.Run(stop, context.Background()) }()
+	addresses := <-serving
+	s := &site{world: world, url: "http://" + addresses[0].String()}
+	s.stop = func() {
+		end()
+		if err := <-done; err != nil {
+			tb.Error(err)
+		}
+		endStandins()
+		world.Stop()
+	}
+	waitReady(tb, "http://"+addresses[1].String())
+	return s
+}
+
+func waitReady(tb testing.TB, operators string) {
+	tb.Helper()
+	for range 500 {
+		response, err := http.Get(operators + "/readyz")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	tb.Fatal("the entry host did not become ready")
+}
+
+// A host that served streams and stopped leaves no goroutine behind.
+func TestStopLeavesNothingBehind(t *testing.T) {
+	ignore := goleak.IgnoreCurrent()
+	s := startSite(t, nil)
+	client := &http.Client{Transport: &http.Transport{}}
+	generator := &load.Generator{
+		HTTP: client, Clock: clock.System{}, URLs: []string{s.url}, Key: "dev-orders", Model: "letters", Version: "letters-v1",
+		Requests: 60, Concurrency: 30, Tokens: 20, PromptBytes: 20_000, Stream: true,
+	}
+	if got := generator.Run(context.Background()); got.Answered != 60 {
+		t.Errorf("got %+v, want 60 answered", got)
+	}
+	s.stop()
+	client.CloseIdleConnections()
+	http.DefaultClient.CloseIdleConnections()
+	goleak.VerifyNone(t, ignore)
+}
+
+const benchTokens = 200
+
+func fastEngines(w *standin.World) {
+	for _, e := range w.Engines {
+		e.PrefillRate = 1e9
+		e.TokenGap = 0
+	}
+}
+
+// BenchmarkAdded compares a streamed answer through the entry host with the
+// same answer from the engine directly, in one run.
+func BenchmarkAdded(b *testing.B) {
+	s := startSite(b, fastEngines)
+	defer s.stop()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	engine := s.world.Engines[0].URL()
+	direct := func(tokens int) (first time.Duration) {
+		return readStream(b, client, engine+"/run", directBody(tokens), nil)
+	}
+	through := func(tokens int) (first time.Duration) {
+		return readStream(b, client, s.url+"/v1/completions", throughBody(tokens), http.Header{"Authorization": {"Bearer dev-orders"}})
+	}
+	for range 50 {
+		direct(benchTokens)
+		through(benchTokens)
+	}
+	var costs [2][2]cost
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		for i, tokens := range []int{1, benchTokens} {
+			costs[0][i].add(func() time.Duration { return direct(tokens) })
+			costs[1][i].add(func() time.Duration { return through(tokens) })
+		}
+	}
+	b.StopTimer()
+	n := float64(b.N)
+	micros := func(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 / n }
+	b.ReportMetric(micros(costs[1][1].first-costs[0][1].first), "added-first-µs")
+	b.ReportMetric(micros(costs[1][0].cpu-costs[0][0].cpu), "added-cpu-µs/request")
+	perToken := (costs[1][1].cpu - costs[0][1].cpu) - (costs[1][0].cpu - costs[0][0].cpu)
+	b.ReportMetric(micros(perToken)/(benchTokens-1), "added-cpu-µs/token")
+	client.CloseIdleConnections()
+}
+
+// cost sums the time to the first token and the processor time of calls.
+type cost struct {
+	first, cpu time.Duration
+}
+
+func (c *cost) add(call func() time.Duration) {
+	before := cpuTime()
+	c.first += call()
+	c.cpu += cpuTime() - before
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+const benchPrompt = "How many clothes pegs are in the batch?"
+
+func directBody(tokens int) any {
+	return target.RunRequest{
+		RequestID: "bench", Attempt: 1, Model: "letters", Version: "letters-v1", Prompt: benchPrompt, PromptTokens: 10, MaxTokens: tokens,
+	}
+}
+
+func throughBody(tokens int) any {
+	return map[string]any{"model": "letters", "prompt": benchPrompt, "max_tokens": tokens, "stream": true}
+}
+
+func readStream(b *testing.B, client *http.Client, url string, body any, header http.Header) (first time.Duration) {
+	b.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(data))
+	if err != nil {
+		b.Fatal(err)
+	}
+	if header != nil {
+		request.Header = header
+	}
+	start := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	count := 0
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), "{") {
+			count++
+		}
+		if count == 1 && first == 0 {
+			first = time.Since(start)
+		}
+	}
+	if count < 2 {
+		b.Fatal(fmt.Errorf("status %d, %d events", response.StatusCode, count))
+	}
+	return first
+}
--- a/internal/peer/batches.go
+++ b/internal/peer/batches.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// KeptRows returns the number of ledger rows kept for other hosts.
+func (g *Group) KeptRows() int64 {
+	g.batches.mu.Lock()
+	defer g.batches.mu.Unlock()
+	return int64(g.batches.rows)
+}
+
 func (k *keptBatches) list() []*ledger.Batch {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -92,6 +92,19 @@
 	return w.Platform.listener.start(addr)
 }
 
+// Stop cuts all connections and waits until every listener has ended.
+func (w *World) Stop() {
+	for _, e := range w.Engines {
+		e.Stop()
+		e.Client.CloseIdleConnections()
+	}
+	for _, s := range w.Stores {
+		s.Stop()
+	}
+	w.Docks.Stop()
+	w.Platform.listener.stop()
+}
+
 // PlatformURL returns where the platform listens.
 func (w *World) PlatformURL() string { return w.Platform.listener.url() }
 
@@ -160,6 +173,12 @@
 	case "on":
 		w.power(r.PathValue("name"), true)
 		return
+	case "restart":
+		for _, e := range w.Engines {
+			w.power(e.Name, false)
+			w.power(e.Name, true)
+		}
+		return
 	}
 	name := r.PathValue("name")
 	switch {
--- a/testscripts/script_test.go
+++ b/testscripts/script_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,6 +40,7 @@
 			"until":  cmdUntil,
 			"config": cmdConfig,
 			"sleep":  cmdSleep,
+			"signal": cmdSignal,
 		},
 	})
 }
@@ -151,6 +153,21 @@
 }
 `
 
+// cmdSignal sends a signal to the background process whose arguments contain a
+// text: signal TEXT stop|cont|term|kill.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"stop": syscall.SIGSTOP, "cont": syscall.SIGCONT, "term": syscall.SIGTERM, "kill": syscall.SIGKILL,
+	}
+	for _, command := range ts.BackgroundCmds() {
+		if strings.Contains(strings.Join(command.Args, " "), args[0]) && command.ProcessState == nil {
+			ts.Check(command.Process.Signal(signals[args[1]]))
+			return
+		}
+	}
+	ts.Fatalf("signal: no process with %s", args[0])
+}
+
 // cmdSleep waits for a fixed time where a scenario needs time to pass.
 func cmdSleep(ts *testscript.TestScript, _ bool, args []string) {
 	d, err := time.ParseDuration(args[0])
