--- /dev/null
+++ b/internal/peer/report_test.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+)
+
+func sampleReport() Report {
+	return Report{
+		Revision: 3, HighestRevision: 4, ContactAge: 2 * time.Second, ContactKnown: true, RequestsInFlight: 5,
+		Demands:  []AccountDemand{{Account: "orders", TokensPerSecond: 10, InFlight: 2}},
+		Loads:    []TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1}},
+		Suspects: []Suspect{{Fingerprint: "f00d", Crashes: 1}},
+	}
+}
+
+func TestReportRoundTrip(t *testing.T) {
+	want := sampleReport()
+	got, err := decodeReport(want.encode())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("report (-want +got):\n%s", diff)
+	}
+}
+
+// Whatever a peer sends, it is refused or within its bounds.
+func FuzzExchange(f *testing.F) {
+	report := sampleReport()
+	message := &wire.ExchangeRequest{
+		From:   encodeMember(membership.Member{Name: "one", URL: "http://127.0.0.1:1", Incarnation: 1}),
+		Report: report.encode(),
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{})
+	f.Add([]byte{0x0a, 0x00})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var message wire.ExchangeRequest
+		if proto.Unmarshal(data, &message) != nil {
+			return
+		}
+		if member, err := decodeMember(message.From); err == nil && member.Name == "" {
+			t.Error("a member without a name was accepted")
+		}
+		report, err := decodeReport(message.Report)
+		if err == nil && (report.Revision < 0 || report.HighestRevision < report.Revision || report.RequestsInFlight < 0) {
+			t.Errorf("a report out of bounds was accepted: %+v", report)
+		}
+		if members, err := decodeMembers(message.Updates, maxUpdates); err == nil && len(members) > maxUpdates {
+			t.Error("too many members were accepted")
+		}
+	})
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,81 @@
+package retry_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrasplank.example/sassafrasplank/internal/retry"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// Extra attempts stay within the share of the requests and the reserve.
+func TestBudgetHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.Budget{Percent: 10, Reserve: 5}
+		requests, extra := 0, 0
+		for range rapid.IntRange(10, 300).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "request") {
+				b.Earn()
+				requests++
+			} else if b.Spend() {
+				extra++
+			}
+			if float64(extra) > 5+0.1*float64(requests)+0.001 {
+				t.Fatalf("%d extra attempts for %d requests", extra, requests)
+			}
+		}
+	})
+}
+
+func TestBackoffHasFullJitter(t *testing.T) {
+	b := retry.Backoff{Base: 50 * time.Millisecond, Max: time.Second}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for attempt, limit := range map[int]time.Duration{1: 50 * time.Millisecond, 3: 200 * time.Millisecond, 9: time.Second} {
+		low, high := limit, time.Duration(0)
+		for range 1000 {
+			d := b.Delay(rng, attempt)
+			low, high = min(low, d), max(high, d)
+		}
+		if high > limit || high < limit*9/10 || low > limit/10 {
+			t.Errorf("attempt %d: delays from %s to %s, want 0 to %s", attempt, low, high, limit)
+		}
+	}
+}
+
+func TestSuspects(t *testing.T) {
+	s := retry.Suspects{Attempts: 2, Keep: time.Minute}
+	now := time.Unix(1000, 0)
+	for crash := 1; crash <= 3; crash++ {
+		if s.Proven(now, "f") {
+			t.Fatalf("proven after %d crashes", crash-1)
+		}
+		s.Crashed(now, "f")
+	}
+	if !s.Proven(now, "f") {
+		t.Error("not proven after three crashes")
+	}
+	if s.Proven(now.Add(2*time.Minute), "f") {
+		t.Error("still proven after its time")
+	}
+	s.Merge(now, "g", 3)
+	s.Merge(now, "g", 1)
+	if got := s.Count(now, "g"); got != 3 {
+		t.Errorf("a peer's lower count changed it to %d", got)
+	}
+	s.Cleared("g")
+	if s.Count(now, "g") != 0 {
+		t.Error("not cleared")
+	}
+	if retry.Fingerprint("a", "bc", "d") == retry.Fingerprint("ab", "c", "d") {
+		t.Error("fingerprints of two accounts are the same")
+	}
+}
