Bound what a host keeps, tells and writes at the two-year size

Cause: the new command 'slopes' showed four things that break the allowance of 32 MB and 15 KB/s a node before the target: the prefix index (1,281 bytes a returning prompt, 307 MB at 240,000), reports that name every target in use (28 bytes each), ledger rows (226 bytes each, 7.4 KB/s at 33 a second) and a commit a second from each of 490 hosts, more than the table service takes.

Ruled out: keeping only the last piece of each prompt, since prompts share beginnings.

--- a/commands/root.go
+++ b/commands/root.go
@@ -64,6 +64,7 @@
 			newRecord(),
 			newLoad(),
 			newBook(),
+			newSlopes(),
 			newVersion(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -68,6 +68,7 @@
 	k.positive(float64(c.Placement.PreferredCount), "/placement/preferredCount", "targets")
 	k.positive(float64(c.Placement.IndexEntries), "/placement/indexEntries", "entries")
 	k.positive(float64(c.Peers.FanOut), "/peers/fanOut", "peers")
+	k.positive(c.Ledger.WritesPerSecond, "/ledger/writesPerSecond", "writes per second")
 	k.positive(float64(c.Ledger.BatchRows), "/ledger/batchRows", "rows")
 	k.percent(c.Admission.ReservePercent, "/admission/reservePercent")
 	k.percent(c.Slowness.HedgePercent, "/slowness/hedgePercent")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -154,6 +154,9 @@
 type Ledger struct {
 	FlushEvery Duration `json:"flushEvery"`
 	BatchRows  int      `json:"batchRows"`
+	// WritesPerSecond is the budget of all entry hosts together; with many
+	// hosts each one writes less often than FlushEvery.
+	WritesPerSecond float64 `json:"writesPerSecond"`
 	// BufferRows bounds the rows held in memory while the table service is
 	// down; beyond it new work is refused.
 	BufferRows int `json:"bufferRows"`
@@ -201,7 +204,7 @@
 			PieceTokens:     2048,
 			PreferredCount:  8,
 			RandomCount:     8,
-			IndexEntries:    50_000,
+			IndexEntries:    250_000,
 			LongTokens:      4096,
 			LongSlotPercent: 50,
 			WarmUp:          Of(10 * time.Second),
@@ -228,7 +231,7 @@
 			MinimumReuseRatio: 0.05,
 		},
 		Bookings:   Bookings{KeepFor: Of(7 * 24 * time.Hour)},
-		Ledger:     Ledger{FlushEvery: Of(time.Second), BatchRows: 512, BufferRows: 100_000},
+		Ledger:     Ledger{FlushEvery: Of(time.Second), BatchRows: 512, WritesPerSecond: 100, BufferRows: 100_000},
 		StopDelay:  Of(2 * time.Second),
 		StopWithin: Of(15 * time.Minute),
 	}
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/admission"
@@ -140,10 +142,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	report := peer.Report{RequestsInFlight: d.queue.Running() + d.queue.Waiting()}
-	for _, demand := range d.queue.Demands(now) {
+	demands := d.queue.Demands(now)
+	slices.SortFunc(demands, func(a, b admission.Demand) int { return cmp.Compare(b.TokensPerSecond, a.TokensPerSecond) })
+	for _, demand := range demands[:min(demandsTold, len(demands))] {
 		report.Demands = append(report.Demands, peer.AccountDemand(demand))
 	}
-	for _, load := range d.board.InFlight(now) {
+	loads := d.board.InFlight(now)
+	slices.SortFunc(loads, func(a, b placement.InFlight) int { return cmp.Compare(b.PrefillTokens, a.PrefillTokens) })
+	for _, load := range loads[:min(loadsTold, len(loads))] {
 		report.Loads = append(report.Loads, peer.TargetLoad(load))
 	}
 	d.suspects.All(now, func(fingerprint string, crashes int) {
@@ -154,8 +160,12 @@
 	return report
 }
 
-// suspectsTold bounds the suspects in one report.
-const suspectsTold = 64
+// Bounds of one report, so that its size doesn't grow with the system.
+const (
+	suspectsTold = 64
+	demandsTold  = 16
+	loadsTold    = 24
+)
 
 // MergeSuspects takes in the suspects of a peer.
 func (d *Dispatcher) MergeSuspects(suspects []peer.Suspect) {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -160,7 +160,7 @@
 	h.writer = &ledger.Writer{
 		Host: cfg.Host, Incarnation: incarnation, Table: h.platform, Clock: h.Clock, Log: h.Log,
 		FlushEvery: cfg.Ledger.FlushEvery.Duration, BatchRows: cfg.Ledger.BatchRows, BufferRows: cfg.Ledger.BufferRows,
-		Mirror: h.group,
+		Mirror: h.group, Hosts: h.group.Hosts, WritesPerSecond: cfg.Ledger.WritesPerSecond,
 	}
 	h.desk = &booking.Desk{Host: cfg.Host, Table: h.platform, Clock: h.Clock, Log: h.Log, KeepFor: cfg.Bookings.KeepFor.Duration}
 	h.dispatcher = &dispatch.Dispatcher{
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -25,34 +25,6 @@
 	Commit(ctx context.Context, tx platform.Transaction) error
 }
 
-// Batch is a sealed set of rows. Its name is host, incarnation and number, and
-// its content never changes.
-type Batch struct {
-	Host        string `json:"host"`
-	Incarnation int64  `json:"incarnation"`
-	Number      int64  `json:"number"`
-	Rows        []Row  `json:"rows"`
-
-	mirrored bool
-}
-
-// UnmarshalJSON decodes a batch and checks it.
-func (b *Batch) UnmarshalJSON(data []byte) error {
-	type plain Batch
-	if err := json.Unmarshal(data, (*plain)(b)); err != nil {
-		return err
-	}
-	if b.Host == "" || b.Incarnation < 1 || b.Number < 1 {
-		return fmt.Errorf("ledger batch: want host, incarnation and number, got %q/%d/%d", b.Host, b.Incarnation, b.Number)
-	}
-	return nil
-}
-
-// Key returns the key under which the batch is kept.
-func (b *Batch) Key() string {
-	return fmt.Sprintf("%s/%020d/%012d", b.Host, b.Incarnation, b.Number)
-}
-
 // Mirror keeps a copy of sealed batches on another host.
 type Mirror interface {
 	// Keep hands a batch that isn't written yet to another host.
@@ -70,8 +42,12 @@
 	Clock       clock.Clock
 	Log         *log.Logger
 	FlushEvery  time.Duration
-	BatchRows   int
-	BufferRows  int
+	// Hosts returns the number of live entry hosts; nil stands for one.
+	Hosts func() int
+	// WritesPerSecond is the budget of all entry hosts together.
+	WritesPerSecond float64
+	BatchRows       int
+	BufferRows      int
 	// Mirror may be nil.
 	Mirror Mirror
 
@@ -120,14 +96,24 @@
 
 // Run writes batches until ctx ends.
 func (w *Writer) Run(ctx context.Context) error {
-	clock.Every(ctx, w.Clock, w.FlushEvery, func(ctx context.Context) {
+	for clock.Sleep(ctx, w.Clock, w.Interval()) == nil {
 		if err := w.Flush(ctx); err != nil && ctx.Err() == nil {
 			w.Log.Warn().Str("part", "ledger").Int("rows", w.Buffered()).Err(err).Msg("ledger: rows wait")
 		}
-	})
+	}
 	return nil
 }
 
+// Interval returns the time between two writes. It grows with the number of
+// hosts, so that all of them together stay within their budget.
+func (w *Writer) Interval() time.Duration {
+	if w.Hosts == nil || w.WritesPerSecond <= 0 {
+		return w.FlushEvery
+	}
+	shared := time.Duration(float64(w.Hosts()) / w.WritesPerSecond * float64(time.Second))
+	return max(w.FlushEvery, shared)
+}
+
 // Flush writes all rows counted so far. Rows stay buffered on an error.
 func (w *Writer) Flush(ctx context.Context) error {
 	w.flushing.Lock()
--- a/internal/ledger/writer_test.go
+++ b/internal/ledger/writer_test.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// Many hosts write less often, so that together they keep to their budget.
+func TestIntervalGrowsWithHosts(t *testing.T) {
+	hosts := 9
+	w := newWriter("one", 1, nil, nil)
+	w.Hosts = func() int { return hosts }
+	w.WritesPerSecond = 100
+	if got := w.Interval(); got != time.Second {
+		t.Errorf("9 hosts: got %s, want 1s", got)
+	}
+	hosts = 490
+	if got := w.Interval(); got != 4900*time.Millisecond {
+		t.Errorf("490 hosts: got %s, want 4.9s", got)
+	}
+}
+
 // BenchmarkWrites gives the commits that a thousand placements cost when each
 // flush finds the given number of rows.
 func BenchmarkWrites(b *testing.B) {
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sassafrasplank.example/sassafrasplank/internal/membership"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 )
@@ -134,6 +136,12 @@
 	return nil
 }
 
+// MessageBytes returns the encoded size of one exchange message.
+func MessageBytes(from membership.Member, report *Report, updates []membership.Member) int {
+	message := &wire.ExchangeRequest{From: encodeMember(from), Report: report.encode(), Updates: encodeMembers(updates)}
+	return proto.Size(message)
+}
+
 func encodeMember(m membership.Member) *wire.Member {
 	return &wire.Member{
 		Name:          m.Name,
--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -1,72 +1,111 @@
 package prefix
 
-import (
-	"github.com/hashicorp/golang-lru/v2/simplelru"
-)
+import "encoding/binary"
 
-// holdersKept bounds the targets remembered for one key.
-const holdersKept = 4
+const (
+	// slotsPerBucket is the number of entries among which the least recently
+	// used one is replaced.
+	slotsPerBucket = 8
+	emptySlot      = -1
+)
 
 // Index remembers which targets hold which prefixes. It is a hint: a wrong
-// entry costs time only. It is bounded and drops the least recently used keys.
+// entry costs time only, so keys are shortened to 64 bits. Its memory is fixed
+// at 16 bytes an entry; a full bucket drops its least recently used entry.
 type Index struct {
-	entries *simplelru.LRU[Key, *holders]
+	slots   []slot
+	buckets uint64
+	clock   uint32
+	count   int
 }
 
-// holders is a small set of target numbers, the newest last.
-type holders struct {
-	count   int
-	targets [holdersKept]int32
+// slot says that a target holds a key.
+type slot struct {
+	key    uint64
+	target int32
+	used   uint32
 }
 
-// NewIndex returns an index of at most size keys.
+// NewIndex returns an index of about size entries.
 func NewIndex(size int) *Index {
-	entries, err := simplelru.NewLRU[Key, *holders](max(1, size), nil)
-	if err != nil {
-		panic(err)
+	buckets := max(1, (size+slotsPerBucket-1)/slotsPerBucket)
+	x := &Index{slots: make([]slot, buckets*slotsPerBucket), buckets: uint64(buckets)}
+	for i := range x.slots {
+		x.slots[i].target = emptySlot
 	}
-	return &Index{entries: entries}
+	return x
 }
 
-// Len returns the number of keys held.
-func (x *Index) Len() int { return x.entries.Len() }
+// Len returns the number of entries held.
+func (x *Index) Len() int { return x.count }
+
+// bucket returns the slots in which a key may stand.
+func (x *Index) bucket(key Key) (short uint64, slots []slot) {
+	short = binary.LittleEndian.Uint64(key[:8])
+	first := binary.LittleEndian.Uint64(key[8:]) % x.buckets * slotsPerBucket
+	return short, x.slots[first : first+slotsPerBucket]
+}
 
 // Contains reports whether any target is known to hold a key.
-func (x *Index) Contains(key Key) bool { return x.entries.Contains(key) }
+func (x *Index) Contains(key Key) bool {
+	short, slots := x.bucket(key)
+	for i := range slots {
+		if slots[i].key == short && slots[i].target != emptySlot {
+			return true
+		}
+	}
+	return false
+}
 
 // Add notes that a target holds a key.
 func (x *Index) Add(key Key, target int32) {
-	entry, ok := x.entries.Get(key)
-	if !ok {
-		entry = &holders{}
-		x.entries.Add(key, entry)
+	x.clock++
+	short, slots := x.bucket(key)
+	free := 0
+	for i := range slots {
+		s := &slots[i]
+		if s.key == short && s.target == target {
+			s.used = x.clock
+			return
+		}
+		if older(s, &slots[free]) {
+			free = i
+		}
 	}
-	entry.remove(target)
-	if entry.count == holdersKept {
-		copy(entry.targets[:], entry.targets[1:])
-		entry.count--
+	if slots[free].target == emptySlot {
+		x.count++
 	}
-	entry.targets[entry.count] = target
-	entry.count++
+	slots[free] = slot{key: short, target: target, used: x.clock}
+}
+
+// older reports whether a is to be replaced before b.
+func older(a, b *slot) bool {
+	if (a.target == emptySlot) != (b.target == emptySlot) {
+		return a.target == emptySlot
+	}
+	return a.used < b.used
 }
 
 // Remove notes that a target no longer holds a key.
 func (x *Index) Remove(key Key, target int32) {
-	entry, ok := x.entries.Peek(key)
-	if !ok {
-		return
-	}
-	entry.remove(target)
-	if entry.count == 0 {
-		x.entries.Remove(key)
+	short, slots := x.bucket(key)
+	for i := range slots {
+		if slots[i].key == short && slots[i].target == target {
+			slots[i] = slot{target: emptySlot}
+			x.count--
+			return
+		}
 	}
 }
 
 // Forget drops all that is known of a target, which takes a pass over the
 // whole index.
 func (x *Index) Forget(target int32) {
-	for _, key := range x.entries.Keys() {
-		x.Remove(key, target)
+	for i := range x.slots {
+		if x.slots[i].target == target {
+			x.slots[i] = slot{target: emptySlot}
+			x.count--
+		}
 	}
 }
 
@@ -80,24 +119,16 @@
 // longer prefixes first, until limit are found. A target may be named again
 // with a shorter prefix.
 func (x *Index) Holders(found []Holder, chain []Key, limit int) []Holder {
+	x.clock++
 	for i := len(chain) - 1; i >= 0 && len(found) < limit; i-- {
-		entry, ok := x.entries.Get(chain[i])
-		if !ok {
-			continue
-		}
-		for j := entry.count - 1; j >= 0; j-- {
-			found = append(found, Holder{Target: entry.targets[j], Pieces: i + 1})
+		short, slots := x.bucket(chain[i])
+		for j := range slots {
+			s := &slots[j]
+			if s.key == short && s.target != emptySlot {
+				s.used = x.clock
+				found = append(found, Holder{Target: s.target, Pieces: i + 1})
+			}
 		}
 	}
 	return found
 }
-
-func (h *holders) remove(target int32) {
-	for i := range h.count {
-		if h.targets[i] == target {
-			copy(h.targets[i:], h.targets[i+1:h.count])
-			h.count--
-			return
-		}
-	}
-}
--- /dev/null
+++ b/internal/prefix/index_test.go
@@ -0,0 +1,87 @@
+package prefix_test
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+func keys(n int) []prefix.Key {
+	return prefix.Chain(nil, prefix.Seed("orders", "letters", "v1"), strings.Repeat("x", n*8), 2)
+}
+
+// The index agrees with a plain map as long as its buckets have room.
+func TestIndexAgreesWithMap(t *testing.T) {
+	all := keys(6)
+	rapid.Check(t, func(t *rapid.T) {
+		x := prefix.NewIndex(1 << 12)
+		want := map[string]bool{}
+		for range rapid.IntRange(10, 100).Draw(t, "steps") {
+			i := rapid.IntRange(0, 5).Draw(t, "key")
+			target := int32(rapid.IntRange(0, 2).Draw(t, "target"))
+			name := fmt.Sprint(i, "/", target)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				x.Add(all[i], target)
+				want[name] = true
+			case 3, 4:
+				x.Remove(all[i], target)
+				delete(want, name)
+			case 5:
+				x.Forget(target)
+				for j := range all {
+					delete(want, fmt.Sprint(j, "/", target))
+				}
+			}
+			got := map[string]bool{}
+			for j := range all {
+				for _, holder := range x.Holders(nil, all[j:j+1], 8) {
+					got[fmt.Sprint(j, "/", holder.Target)] = true
+				}
+			}
+			if diff := cmp.Diff(want, got); diff != "" || x.Len() != len(want) {
+				t.Fatalf("holders (-want +got):\n%slength %d", diff, x.Len())
+			}
+		}
+	})
+}
+
+// The index keeps its size and the keys used last.
+func TestIndexIsBounded(t *testing.T) {
+	x := prefix.NewIndex(64)
+	all := keys(2000)
+	for _, key := range all {
+		x.Add(key, 1)
+		x.Add(all[0], 1)
+	}
+	if x.Len() > 64 || x.Len() < 48 {
+		t.Errorf("got %d entries, want about 64", x.Len())
+	}
+	if !x.Contains(all[0]) || !x.Contains(all[1999]) {
+		t.Error("keys used last are gone")
+	}
+}
+
+// The holder of the longest prefix comes first.
+func TestHoldersLongestFirst(t *testing.T) {
+	x := prefix.NewIndex(1 << 10)
+	chain := keys(4)
+	x.Add(chain[0], 7)
+	x.Add(chain[2], 8)
+	want := []prefix.Holder{{Target: 8, Pieces: 3}, {Target: 7, Pieces: 1}}
+	if diff := cmp.Diff(want, x.Holders(nil, chain, 8)); diff != "" {
+		t.Errorf("holders (-want +got):\n%s", diff)
+	}
+}
