Prove a swap of weight versions and the lifting of a refusal

Cause: deleting the record of a refusal did not lift it, since each host kept its own count of crashes for 30 minutes and peers' reports brought it back. A host now forgets the count when the record goes and doesn't believe reports on it for a minute.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -89,9 +89,10 @@
 	now := d.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if set.Revision != d.revision {
-		d.revision = set.Revision
+	if set.Revision != d.applied.Revision {
+		d.liftRefusals(now, set)
 		d.applyRecords(now, set)
+		d.applied = set
 	}
 	for _, name := range d.targetNames(set) {
 		load := loads[name]
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -125,7 +125,8 @@
 	lengths   *lengths.Estimator
 	retention *retention.Planner
 	pinned    map[string]string
-	revision  int64
+	// applied are the records that the board was last given.
+	applied *record.Set
 
 	directory  *store.Directory
 	finished   chan finishedPrompt
@@ -171,6 +172,7 @@
 		MinimumReuseRatio: cfg.Retention.MinimumReuseRatio,
 	})
 	d.pinned = map[string]string{}
+	d.applied = record.NewSet()
 	d.directory = &store.Directory{FreshFor: freshFor, ReadLimit: readLimit, Grace: cfg.Retention.FreeGrace.Duration}
 	d.finished = make(chan finishedPrompt, finishedBacklog)
 }
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -40,6 +40,16 @@
 	d.board.SetLinks(links)
 }
 
+// liftRefusals forgets the suspects whose refusal an operator has deleted. The
+// lock must be held.
+func (d *Dispatcher) liftRefusals(now time.Time, set *record.Set) {
+	for fingerprint := range d.applied.Refusals {
+		if set.Refusals[fingerprint] == nil {
+			d.suspects.Lift(now, fingerprint)
+		}
+	}
+}
+
 func engineSpec(name string, t *record.Target) placement.EngineSpec {
 	spec := placement.EngineSpec{
 		Name:          name,
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -71,7 +71,8 @@
 	if got := s.Count(now, "g"); got != 3 {
 		t.Errorf("a peer's lower count changed it to %d", got)
 	}
-	s.Cleared("g")
+	s.Lift(now, "g")
+	s.Merge(now.Add(time.Second), "g", 3)
 	if s.Count(now, "g") != 0 {
 		t.Error("not cleared")
 	}
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -10,6 +10,8 @@
 const (
 	// suspectsKept bounds the fingerprints remembered.
 	suspectsKept = 4096
+	// liftedFor is how long peers' reports on a lifted request are ignored.
+	liftedFor = time.Minute
 	// fingerprintDigits is the length of a fingerprint.
 	fingerprintDigits = 32
 )
@@ -29,6 +31,8 @@
 	Keep time.Duration
 
 	counts map[string]suspect
+	// lifted holds until when reports of peers on a fingerprint are ignored.
+	lifted map[string]time.Time
 }
 
 type suspect struct {
@@ -46,12 +50,30 @@
 
 // Merge takes in the count of another host.
 func (s *Suspects) Merge(now time.Time, fingerprint string, crashes int) {
+	if now.Before(s.lifted[fingerprint]) {
+		return
+	}
 	if crashes > s.Count(now, fingerprint) {
 		s.set(now, fingerprint, crashes)
 	}
 }
 
-// Cleared forgets a request that has run whole, or that an operator lifted.
+// Lift forgets a request because an operator said so. Peers that haven't heard
+// of it yet are not believed for a while.
+func (s *Suspects) Lift(now time.Time, fingerprint string) {
+	s.Cleared(fingerprint)
+	if s.lifted == nil {
+		s.lifted = map[string]time.Time{}
+	}
+	for known, until := range s.lifted {
+		if now.After(until) {
+			delete(s.lifted, known)
+		}
+	}
+	s.lifted[fingerprint] = now.Add(liftedFor)
+}
+
+// Cleared forgets a request that has run whole.
 func (s *Suspects) Cleared(fingerprint string) { delete(s.counts, fingerprint) }
 
 // Count returns how many targets died while the request ran.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	eventsKept       = 4096
-	kvBytesPerToken  = 4
-	twoVersionsLimit = 2
+	eventsKept      = 4096
+	kvBytesPerToken = 4
 )
 
 // EngineFaults are the faults of a model engine.
@@ -54,12 +53,12 @@
 	RestartAfter  time.Duration
 	ChecksFencing bool
 	Client        *http.Client
+	Weights       *WeightStore
 
 	mu          sync.Mutex
 	faults      EngineFaults
 	incarnation int64
 	versions    map[string]bool
-	loading     int
 	fence       int64
 	running     int
 	waiting     []*engineRun
--- a/internal/standin/enginecache.go
+++ b/internal/standin/enginecache.go
@@ -92,19 +92,12 @@
 	if !readJSON(w, r, &order) || !e.fenced(w, order.Fence) {
 		return
 	}
-	e.mu.Lock()
-	e.loading++
-	wait := e.LoadTime
-	if e.loading > twoVersionsLimit {
-		wait *= 2
-	}
-	e.mu.Unlock()
 	if !order.Unload {
-		<-e.Clock.After(wait)
+		<-e.Clock.After(e.Weights.begin(e.LoadTime))
+		e.Weights.end()
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.loading--
 	if order.Unload {
 		delete(e.versions, order.Version)
 	} else {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -22,6 +22,7 @@
 	Engines  []*Engine
 	Stores   []*StoreHost
 	Docks    *Docks
+	Weights  *WeightStore
 }
 
 const (
@@ -38,7 +39,7 @@
 
 // NewWorld returns a world that isn't started.
 func NewWorld(c clock.Clock) *World {
-	w := &World{Clock: c, Platform: NewPlatform(c), Docks: &Docks{Clock: c}}
+	w := &World{Clock: c, Platform: NewPlatform(c), Docks: &Docks{Clock: c}, Weights: &WeightStore{}}
 	for i := range worldStores {
 		w.Stores = append(w.Stores, &StoreHost{Name: fmt.Sprintf("store-%d", i+1), Clock: c})
 	}
@@ -55,6 +56,7 @@
 			LoadTime:      500 * time.Millisecond,
 			RestartAfter:  time.Second,
 			ChecksFencing: i%2 == 0,
+			Weights:       w.Weights,
 			Client:        &http.Client{Transport: &http.Transport{}},
 		})
 	}
@@ -227,8 +229,12 @@
 	Blocks   int `json:"blocks"`
 	// Crashes counts the crashes of all engines.
 	Crashes int `json:"crashes"`
-	Reads   int `json:"reads"`
-	Commits int `json:"commits"`
+	// Loads counts the orders to load weights that all engines carried out, and
+	// LoadsAtOnce the most of them at the same time.
+	Loads       int `json:"loads"`
+	LoadsAtOnce int `json:"loadsAtOnce"`
+	Reads       int `json:"reads"`
+	Commits     int `json:"commits"`
 }
 
 func (w *World) serveState(rw http.ResponseWriter, r *http.Request) {
@@ -238,6 +244,9 @@
 	for _, e := range w.Engines {
 		state.Crashes += e.Crashes()
 	}
+	if w.Weights != nil {
+		state.Loads, state.LoadsAtOnce = w.Weights.counts()
+	}
 	if e := w.engine(name); e != nil {
 		state.Finished = e.Finished()
 	}
--- a/testscripts/script_test.go
+++ b/testscripts/script_test.go
@@ -41,6 +41,7 @@
 			"config": cmdConfig,
 			"sleep":  cmdSleep,
 			"signal": cmdSignal,
+			"match":  cmdMatch,
 		},
 	})
 }
@@ -168,6 +169,16 @@
 	ts.Fatalf("signal: no process with %s", args[0])
 }
 
+// cmdMatch sets a variable to the first group of a pattern in the standard
+// output of the last command: match NAME PATTERN.
+func cmdMatch(ts *testscript.TestScript, _ bool, args []string) {
+	found := regexp.MustCompile(args[1]).FindStringSubmatch(ts.ReadFile("stdout"))
+	if len(found) < 2 {
+		ts.Fatalf("match: no match for %s", args[1])
+	}
+	ts.Setenv(args[0], found[1])
+}
+
 // cmdSleep waits for a fixed time where a scenario needs time to pass.
 func cmdSleep(ts *testscript.TestScript, _ bool, args []string) {
 	d, err := time.ParseDuration(args[0])
