--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -55,7 +55,7 @@
 
 // StoreClient carries out calls to store hosts.
 type StoreClient interface {
-	Commits(ctx context.Context, url string) ([]store.Commit, error)
+	List(ctx context.Context, url string, after store.Cursor) (store.Listing, error)
 	PutCommit(ctx context.Context, url string, commit store.Commit) error
 	DeleteCommit(ctx context.Context, url, name string) error
 	DeleteBlock(ctx context.Context, url, name string, generation int64) error
--- a/internal/dispatch/keep.go
+++ b/internal/dispatch/keep.go
@@ -228,19 +228,19 @@
 	}
 }
 
-// watchStores lists the committed blocks of every store host.
+// watchStores reads what changed among the committed blocks of every store host.
 func (d *Dispatcher) watchStores(ctx context.Context) {
 	set := d.Records.Current()
 	for name, host := range set.Stores {
 		at := d.Clock.Now()
-		commits, err := d.Stores.Commits(ctx, host.URL)
+		listing, err := d.Stores.List(ctx, host.URL, d.directory.Cursor(name))
 		d.mu.Lock()
 		d.board.SetLinkDown(name, err != nil)
 		d.mu.Unlock()
 		if err != nil {
 			continue
 		}
-		for _, change := range d.directory.Listed(at, name, commits) {
+		for _, change := range d.directory.Listed(at, name, listing) {
 			d.noteStored(name, change.Key, change.Removed)
 		}
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -35,6 +35,7 @@
 	targetTimeout     = 2 * time.Second
 	targetConnections = 256
 	leaveWithin       = 2 * time.Second
+	snapshotEvery     = 30 * time.Second
 )
 
 // Host is one entry host. The exported fields are set before Run.
@@ -49,6 +50,7 @@
 	group      *peer.Group
 	follower   *recordstore.Follower
 	records    *recordstore.Writer
+	snapshots  *recordstore.Snapshots
 	writer     *ledger.Writer
 	desk       *booking.Desk
 	dispatcher *dispatch.Dispatcher
@@ -68,7 +70,7 @@
 	duties, endDuties := context.WithCancel(context.Background())
 	defer endDuties()
 	var group errgroup.Group
-	for _, duty := range []func(context.Context) error{h.group.Run, h.follower.Run, h.dispatcher.Run, h.writer.Run, h.refreshBudget} {
+	for _, duty := range []func(context.Context) error{h.group.Run, h.follower.Run, h.snapshots.Run, h.dispatcher.Run, h.writer.Run, h.refreshBudget} {
 		group.Go(func() error { return duty(duties) })
 	}
 	for _, l := range listeners {
@@ -154,9 +156,12 @@
 	}
 	h.buildGroup(incarnation, peers)
 	h.follower = &recordstore.Follower{
-		Table: h.platform, Peers: h.group, Clock: h.Clock, Log: h.Log,
+		Table: h.platform, Objects: h.platform, Peers: h.group, Clock: h.Clock, Log: h.Log,
 		Poll: cfg.Peers.ConfigPoll.Duration, CutOffAfter: cfg.Peers.CutOffAfter.Duration,
 	}
+	h.snapshots = &recordstore.Snapshots{
+		Objects: h.platform, Follower: h.follower, Clock: h.Clock, Log: h.Log, Every: snapshotEvery, IsHome: h.group.IsHome,
+	}
 	h.writer = &ledger.Writer{
 		Host: cfg.Host, Incarnation: incarnation, Table: h.platform, Clock: h.Clock, Log: h.Log,
 		FlushEvery: cfg.Ledger.FlushEvery.Duration, BatchRows: cfg.Ledger.BatchRows, BufferRows: cfg.Ledger.BufferRows,
--- a/internal/recordstore/follower.go
+++ b/internal/recordstore/follower.go
@@ -46,7 +46,9 @@
 // Follower keeps the records in force on this host. The exported fields are
 // set before Run.
 type Follower struct {
-	Table       Table
+	Table Table
+	// Objects may hold a snapshot of the records; it may be nil.
+	Objects     Objects
 	Peers       PeerSource
 	Clock       clock.Clock
 	Log         *log.Logger
@@ -116,10 +118,8 @@
 
 // Run follows the records until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.begin(ctx)
-	for !f.started.Load() && ctx.Err() == nil {
-		_ = clock.Sleep(ctx, f.Clock, startPause)
-		f.begin(ctx)
+	if f.Begin(ctx) != nil {
+		return nil
 	}
 	for {
 		select {
@@ -133,6 +133,19 @@
 	}
 }
 
+// Begin tries until this host has records, or ctx ends.
+func (f *Follower) Begin(ctx context.Context) error {
+	for {
+		f.begin(ctx)
+		if f.started.Load() {
+			return nil
+		}
+		if err := clock.Sleep(ctx, f.Clock, startPause); err != nil {
+			return err
+		}
+	}
+}
+
 // begin reads all records, from the table service or else from a peer.
 func (f *Follower) begin(ctx context.Context) {
 	err := f.loadAll(ctx)
@@ -150,12 +163,30 @@
 	}
 }
 
-// loadAll reads every record and then the changes made while it was reading.
+// loadAll reads a snapshot or else every record, and then the changes since.
 func (f *Follower) loadAll(ctx context.Context) error {
 	revision, at, err := f.readRevision(ctx)
 	if err != nil {
 		return err
 	}
+	if f.Objects != nil && f.Current().Revision == 0 {
+		snapshot, err := readSnapshot(ctx, f.Objects)
+		if err == nil && snapshot.Revision <= revision {
+			f.apply(snapshot)
+		}
+	}
+	if f.Current().Revision == 0 {
+		if err := f.loadRecords(ctx, revision); err != nil {
+			return err
+		}
+	}
+	f.noteContact(at)
+	return f.readHistory(ctx)
+}
+
+// loadRecords reads every record. Some may be newer than the revision; the
+// history behind it makes them all equally new.
+func (f *Follower) loadRecords(ctx context.Context, revision int64) error {
 	catchup := Catchup{Revision: revision, Whole: true}
 	after := ""
 	for {
@@ -176,8 +207,7 @@
 		}
 	}
 	f.apply(catchup)
-	f.noteContact(at)
-	return f.readHistory(ctx)
+	return nil
 }
 
 // pollTable asks the table service for the revision and reads what is new.
--- a/internal/standin/storehost.go
+++ b/internal/standin/storehost.go
@@ -3,8 +3,7 @@
 import (
 	"io"
 	"net/http"
-	"slices"
-	"strings"
+	"strconv"
 	"sync"
 	"time"
 
@@ -30,11 +29,14 @@
 	Name  string
 	Clock clock.Clock
 
-	mu       sync.Mutex
-	blocks   map[string][]byte
-	commits  map[string]store.Commit
-	faults   StoreFaults
-	listener listener
+	mu      sync.Mutex
+	blocks  map[string][]byte
+	commits map[string]store.Commit
+	// changed names the commit records written or deleted, in order.
+	changed     []string
+	incarnation int64
+	faults      StoreFaults
+	listener    listener
 }
 
 // Start empties the host and listens at addr.
@@ -42,6 +44,8 @@
 	s.mu.Lock()
 	s.blocks = map[string][]byte{}
 	s.commits = map[string]store.Commit{}
+	s.changed = nil
+	s.incarnation = s.Clock.Now().UnixNano()
 	s.mu.Unlock()
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /blocks/{name}/{generation}", s.delayed(s.servePutBlock))
@@ -143,21 +147,43 @@
 		return
 	}
 	s.commits[r.PathValue("name")] = commit
+	s.changed = append(s.changed, r.PathValue("name"))
 }
 
 func (s *StoreHost) serveDeleteCommit(_ http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.commits, r.PathValue("name"))
+	name := r.PathValue("name")
+	delete(s.commits, name)
+	s.changed = append(s.changed, name)
 }
 
-func (s *StoreHost) serveListCommits(w http.ResponseWriter, _ *http.Request) {
+// serveListCommits lists what changed behind a cursor, or everything when the
+// cursor is of another life or too old.
+func (s *StoreHost) serveListCommits(w http.ResponseWriter, r *http.Request) {
+	incarnation, _ := strconv.ParseInt(r.URL.Query().Get("incarnation"), 10, 64)
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	writeJSON(w, http.StatusOK, s.listing(store.Cursor{Incarnation: incarnation, Sequence: after}))
+}
+
+func (s *StoreHost) listing(after store.Cursor) store.Listing {
 	s.mu.Lock()
-	commits := make([]store.Commit, 0, len(s.commits))
-	for _, commit := range s.commits {
-		commits = append(commits, commit)
+	defer s.mu.Unlock()
+	end := int64(len(s.changed))
+	listing := store.Listing{Cursor: store.Cursor{Incarnation: s.incarnation, Sequence: end}}
+	if after.Incarnation != s.incarnation || after.Sequence < 0 || after.Sequence > end {
+		listing.Whole = true
+		for _, commit := range s.commits {
+			listing.Commits = append(listing.Commits, commit)
+		}
+		return listing
 	}
-	s.mu.Unlock()
-	slices.SortFunc(commits, func(a, b store.Commit) int { return strings.Compare(a.Name, b.Name) })
-	writeJSON(w, http.StatusOK, commits)
+	for _, name := range s.changed[after.Sequence:] {
+		if commit, found := s.commits[name]; found {
+			listing.Commits = append(listing.Commits, commit)
+		} else {
+			listing.Removed = append(listing.Removed, name)
+		}
+	}
+	return listing
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -19,11 +19,12 @@
 	Timeout time.Duration
 }
 
-// Commits lists the commit records of a store host.
-func (c *Client) Commits(ctx context.Context, url string) ([]Commit, error) {
-	var commits []Commit
-	err := c.call(ctx, http.MethodGet, url+"/commits", nil, &commits)
-	return commits, err
+// List reads the commit records of a store host behind a cursor.
+func (c *Client) List(ctx context.Context, url string, after Cursor) (Listing, error) {
+	var listing Listing
+	path := fmt.Sprintf("%s/commits?incarnation=%d&after=%d", url, after.Incarnation, after.Sequence)
+	err := c.call(ctx, http.MethodGet, path, nil, &listing)
+	return listing, err
 }
 
 // PutCommit writes the commit record that makes a block readable.
--- a/internal/store/directory.go
+++ b/internal/store/directory.go
@@ -27,6 +27,7 @@
 
 type storeState struct {
 	listedAt  time.Time
+	cursor    Cursor
 	blocks    map[string]*blockState
 	byKey     map[string]string
 	bytes     int64
@@ -63,27 +64,38 @@
 	return s
 }
 
-// Listed replaces what is known of a store host by its list of commit records
-// and returns what changed. at is when the list was asked for.
-func (d *Directory) Listed(at time.Time, store string, commits []Commit) []Change {
+// Cursor returns how far the commit records of a store host were read.
+func (d *Directory) Cursor(store string) Cursor {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state(store).cursor
+}
+
+// Listed takes in a listing of a store host and returns what changed. at is
+// when the listing was asked for.
+func (d *Directory) Listed(at time.Time, store string, listing Listing) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.state(store)
 	s.listedAt = at
-	listed := make(map[string]bool, len(commits))
+	s.cursor = listing.Cursor
 	var changes []Change
-	for _, commit := range commits {
+	listed := make(map[string]bool, len(listing.Commits))
+	for _, commit := range listing.Commits {
 		listed[commit.Name] = true
-		if s.isWithdrawn(commit.Name) {
-			continue
-		}
-		if s.add(at, commit) {
+		if !s.isWithdrawn(commit.Name) && s.add(at, commit) {
 			changes = append(changes, Change{Key: commit.Key})
 		}
 	}
+	for _, name := range listing.Removed {
+		changes = append(changes, s.dropUnpinned(name)...)
+	}
+	if !listing.Whole {
+		return changes
+	}
 	for name, block := range s.blocks {
-		if !listed[name] && block.usedAt.Before(at) && block.pins == 0 {
-			changes = append(changes, s.drop(name)...)
+		if !listed[name] && block.usedAt.Before(at) {
+			changes = append(changes, s.dropUnpinned(name)...)
 		}
 	}
 	return changes
@@ -226,6 +238,16 @@
 	return []Change{{Key: block.commit.Key, Removed: true}}
 }
 
+// dropUnpinned drops a block unless it is being read. A pinned one stays until
+// a read of it fails or a whole listing lacks it.
+func (s *storeState) dropUnpinned(name string) []Change {
+	block := s.blocks[name]
+	if block == nil || block.pins > 0 {
+		return nil
+	}
+	return s.drop(name)
+}
+
 func (s *storeState) isWithdrawn(name string) bool {
 	return slices.ContainsFunc(s.withdrawn, func(w withdrawn) bool { return w.commit.Name == name })
 }
--- a/internal/store/directory_test.go
+++ b/internal/store/directory_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"sassafrasplank.example/sassafrasplank/internal/store"
@@ -43,7 +44,7 @@
 }
 
 func (m *blockModel) list(host *store.Directory) {
-	host.Listed(m.now, storeName, slices.Collect(maps.Values(m.commits)))
+	host.Listed(m.now, storeName, store.Listing{Whole: true, Commits: slices.Collect(maps.Values(m.commits))})
 }
 
 func (m *blockModel) write(host *store.Directory, key string) {
@@ -131,7 +132,7 @@
 	d := &store.Directory{FreshFor: freshFor, ReadLimit: readLimit}
 	now := time.Unix(1000, 0)
 	commit := store.Commit{Key: "k", Name: "k-1", Generation: 1, Length: 1, Checksum: "c", ClientAccount: "orders", Version: "letters-v1"}
-	d.Listed(now, storeName, []store.Commit{commit})
+	d.Listed(now, storeName, store.Listing{Whole: true, Commits: []store.Commit{commit}})
 	cases := []struct {
 		name, account, version string
 		at                     time.Time
@@ -148,3 +149,22 @@
 		}
 	}
 }
+
+// Listings behind a cursor add and remove blocks, and leave the others alone.
+func TestListingBehindCursor(t *testing.T) {
+	d := &store.Directory{FreshFor: freshFor, ReadLimit: readLimit}
+	now := time.Unix(1000, 0)
+	commit := func(key string) store.Commit {
+		return store.Commit{Key: key, Name: key + "-1", Generation: 1, Length: 1, Checksum: "c", ClientAccount: "orders", Version: "v"}
+	}
+	d.Listed(now, storeName, store.Listing{Whole: true, Commits: []store.Commit{commit("a"), commit("b")}, Cursor: store.Cursor{Incarnation: 1, Sequence: 2}})
+	got := d.Listed(now, storeName, store.Listing{
+		Commits: []store.Commit{commit("c")}, Removed: []string{"a-1", "unknown"}, Cursor: store.Cursor{Incarnation: 1, Sequence: 4},
+	})
+	if diff := cmp.Diff([]store.Change{{Key: "c"}, {Key: "a", Removed: true}}, got); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+	if d.Holds(storeName, "a") || !d.Holds(storeName, "b") || !d.Holds(storeName, "c") || d.Cursor(storeName).Sequence != 4 {
+		t.Error("the directory must hold b and c at sequence 4")
+	}
+}
