Test attempts, boards, clients and old orders; show readiness of hosts

Cause: several lines of the open issues had no test of their own: the loser of a hedge, resuming a stream, a true 'not run', signs of leaving against late reports, gentle filling, the platform client's errors, breaker and budget, and late orders with old fencing numbers. Expired bookings were never deleted.

--- a/internal/booking/desk.go
+++ b/internal/booking/desk.go
@@ -38,6 +38,7 @@
 // Table is the part of the table service that bookings need.
 type Table interface {
 	Get(ctx context.Context, table, key string) (platform.Row, bool, error)
+	Scan(ctx context.Context, s platform.Scan) ([]platform.Row, error)
 	Commit(ctx context.Context, tx platform.Transaction) error
 }
 
@@ -51,6 +52,8 @@
 	Clock   clock.Clock
 	Log     *log.Logger
 	KeepFor time.Duration
+	// IsHome reports whether this host is the one to look after a name.
+	IsHome func(name string) bool
 
 	settling sync.WaitGroup
 }
--- a/internal/booking/desk_test.go
+++ b/internal/booking/desk_test.go
@@ -14,6 +14,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/booking"
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/standin"
 	"sassafrasplank.example/sassafrasplank/internal/target"
 )
@@ -168,3 +169,43 @@
 		}
 	}
 }
+
+// Expired records are deleted, others stay.
+func TestPurge(t *testing.T) {
+	c := &clock.Skipping{}
+	c.Advance(time.Hour)
+	desks := newDesks(c, nil, 1)
+	s := &service{ran: map[string]int{}}
+	ctx := context.Background()
+	if _, _, err := book(desks[0], &booking.Request{Account: "orders", Service: "docks", Key: "old"}, s, callAnswered); err != nil {
+		t.Fatal(err)
+	}
+	c.Advance(desks[0].KeepFor)
+	if _, _, err := book(desks[0], &booking.Request{Account: "orders", Service: "docks", Key: "new"}, s, callAnswered); err != nil {
+		t.Fatal(err)
+	}
+	c.Advance(time.Hour)
+	if err := desks[0].Purge(ctx); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := desks[0].Table.Scan(ctx, platform.Scan{Table: "booking"})
+	if err != nil || len(rows) != 1 {
+		t.Errorf("got %d records, error %v; want the new one", len(rows), err)
+	}
+}
+
+// BenchmarkBookings gives the calls to the table service that bookings cost.
+func BenchmarkBookings(b *testing.B) {
+	c := &clock.Skipping{}
+	stand := standin.NewPlatform(c)
+	desk := &booking.Desk{Host: "one", Table: &standin.DirectTable{Platform: stand}, Clock: c, KeepFor: time.Hour}
+	s := &service{ran: map[string]int{}}
+	for i := range b.N {
+		if _, _, err := book(desk, &booking.Request{Account: "orders", Service: "docks", Key: fmt.Sprint(i)}, s, callAnswered); err != nil {
+			b.Fatal(err)
+		}
+	}
+	reads, commits := stand.Counts()
+	b.ReportMetric(100*float64(commits)/float64(b.N), "commits/100-bookings")
+	b.ReportMetric(100*float64(reads)/float64(b.N), "reads/100-bookings")
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -70,7 +70,7 @@
 	duties, endDuties := context.WithCancel(context.Background())
 	defer endDuties()
 	var group errgroup.Group
-	for _, duty := range []func(context.Context) error{h.group.Run, h.follower.Run, h.snapshots.Run, h.dispatcher.Run, h.writer.Run, h.refreshBudget} {
+	for _, duty := range []func(context.Context) error{h.group.Run, h.follower.Run, h.snapshots.Run, h.dispatcher.Run, h.writer.Run, h.desk.Run, h.refreshBudget} {
 		group.Go(func() error { return duty(duties) })
 	}
 	for _, l := range listeners {
@@ -167,7 +167,7 @@
 		FlushEvery: cfg.Ledger.FlushEvery.Duration, BatchRows: cfg.Ledger.BatchRows, BufferRows: cfg.Ledger.BufferRows,
 		Mirror: h.group, Hosts: h.group.Hosts, WritesPerSecond: cfg.Ledger.WritesPerSecond,
 	}
-	h.desk = &booking.Desk{Host: cfg.Host, Table: h.platform, Clock: h.Clock, Log: h.Log, KeepFor: cfg.Bookings.KeepFor.Duration}
+	h.desk = &booking.Desk{Host: cfg.Host, Table: h.platform, Clock: h.Clock, Log: h.Log, KeepFor: cfg.Bookings.KeepFor.Duration, IsHome: h.group.IsHome}
 	h.dispatcher = &dispatch.Dispatcher{
 		Host: cfg.Host, Incarnation: incarnation, Config: cfg, Clock: h.Clock, Log: h.Log, Metrics: h.metrics,
 		Targets: target.NewClient(targetTimeout, targetConnections),
@@ -179,6 +179,7 @@
 	_ = h.metrics.Register("ledger.kept", metrics.NewFunctionalGauge(h.group.KeptRows))
 	_ = h.metrics.Register("ledger.buffered", metrics.NewFunctionalGauge(func() int64 { return int64(h.writer.Buffered()) }))
 	h.dispatcher.Init()
+	h.group.Ready = h.ready
 	h.group.Local = h.dispatcher
 	h.group.Records = h.follower
 }
--- a/internal/entry/host_test.go
+++ b/internal/entry/host_test.go
@@ -42,9 +42,26 @@
 	if err := world.Start(standins, "127.0.0.1:0", "127.0.0.1"); err != nil {
 		tb.Fatal(err)
 	}
+	h := startHost(tb, world, "one")
+	return &site{world: world, url: h.callers, stop: func() {
+		h.stop()
+		endStandins()
+		world.Stop()
+	}}
+}
+
+// runningHost is an entry host in this process.
+type runningHost struct {
+	callers, operators string
+	stop               func()
+}
+
+func startHost(tb testing.TB, world *standin.World, name string) *runningHost {
+	tb.Helper()
 	cfg := config.Default()
-	cfg.Host, cfg.FailureDomain = "one", "west"
+	cfg.Host, cfg.FailureDomain = name, "west"
 	cfg.Callers.Listen, cfg.Operators.Listen, cfg.Peers.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Operators.Keys = []config.OperatorKey{{Name: "anna", SHA256: operatorHash}}
 	cfg.Platform.TableURL, cfg.Platform.ObjectURL, cfg.Platform.HostListURL = world.PlatformURL(), world.PlatformURL(), world.PlatformURL()
 	cfg.Placement.WarmUp, cfg.StopDelay = config.Of(0), config.Of(0)
 	serving := make(chan [2]net.Addr, 1)
@@ -52,23 +69,24 @@
 		Config: cfg, Clock: clock.System{}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		Serving: func(callers, operators net.Addr) { serving <- [2]net.Addr{callers, operators} },
 	}
-	stop, end := context.WithCancel(context.Background())
+	ctx, end := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- host.Run(stop, context.Background()) }()
+	go func() { done <- host.Run(ctx, context.Background()) }()
 	addresses := <-serving
-	s := &site{world: world, url: "http://" + addresses[0].String()}
-	s.stop = func() {
+	h := &runningHost{callers: "http://" + addresses[0].String(), operators: "http://" + addresses[1].String()}
+	h.stop = func() {
 		end()
 		if err := <-done; err != nil {
 			tb.Error(err)
 		}
-		endStandins()
-		world.Stop()
 	}
-	waitReady(tb, "http://"+addresses[1].String())
-	return s
+	waitReady(tb, h.operators)
+	return h
 }
 
+// operatorHash is the SHA-256 of the operator key "dev-operator".
+const operatorHash = "c15de198d781469a78760f52482bac96c651dec77512c11657dcb336fa480ca0"
+
 func waitReady(tb testing.TB, operators string) {
 	tb.Helper()
 	for range 500 {
@@ -212,3 +230,54 @@
 	}
 	return first
 }
+
+// BenchmarkInForce gives the time from asking for a change until it is in force
+// on all of nine hosts.
+func BenchmarkInForce(b *testing.B) {
+	const hosts = 9
+	standins, end := context.WithCancel(context.Background())
+	defer end()
+	world := standin.NewWorld(clock.System{})
+	if err := world.Start(standins, "127.0.0.1:0", "127.0.0.1"); err != nil {
+		b.Fatal(err)
+	}
+	var running []*runningHost
+	for i := range hosts {
+		running = append(running, startHost(b, world, fmt.Sprintf("host-%d", i)))
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		name := fmt.Sprintf("model-%d", i)
+		body := fmt.Sprintf(`{"kind":"model","schema":1,"name":%q,"spec":{"contextTokens":10}}`, name)
+		operate(b, http.MethodPut, running[i%hosts].operators+"/admin/v1/records/model/"+name, body)
+		for _, h := range running {
+			for !strings.Contains(operate(b, http.MethodGet, h.operators+"/admin/v1/records?kind=model", ""), `"`+name+`"`) {
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "in-force-ms")
+	b.StopTimer()
+	for _, h := range running {
+		h.stop()
+	}
+}
+
+func operate(b *testing.B, method, url, body string) string {
+	b.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer dev-operator")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		b.Fatalf("status %d, error %v: %s", response.StatusCode, err, data)
+	}
+	return string(data)
+}
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -71,6 +71,8 @@
 	Local    Local
 	Records  Records
 	Ledger   LedgerTable
+	// Ready tells whether the balancer may send requests to this host.
+	Ready func() bool
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -200,6 +202,7 @@
 	report.Revision = g.Records.Current().Revision
 	report.HighestRevision = max(report.Revision, g.HighestRevision())
 	report.ContactAge, report.ContactKnown = g.bestContact()
+	report.Ready = g.Ready()
 	return report
 }
 
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -29,9 +29,11 @@
 	ContactAge       time.Duration
 	ContactKnown     bool
 	RequestsInFlight int
-	Demands          []AccountDemand
-	Loads            []TargetLoad
-	Suspects         []Suspect
+	// Ready tells whether the balancer may send requests to the host.
+	Ready    bool
+	Demands  []AccountDemand
+	Loads    []TargetLoad
+	Suspects []Suspect
 }
 
 // AccountDemand is the demand of a client account at one host.
@@ -61,6 +63,7 @@
 		HighestRevision:  r.HighestRevision,
 		ContactAgeMillis: unknownContact,
 		RequestsInFlight: int64(r.RequestsInFlight),
+		Ready:            r.Ready,
 	}
 	if r.ContactKnown {
 		encoded.ContactAgeMillis = r.ContactAge.Milliseconds()
@@ -98,6 +101,7 @@
 		ContactAge:       time.Duration(w.ContactAgeMillis) * time.Millisecond,
 		ContactKnown:     w.ContactAgeMillis >= 0,
 		RequestsInFlight: int(w.RequestsInFlight),
+		Ready:            w.Ready,
 	}
 	return r, errors.Join(r.decodeDemands(w.Demands), r.decodeLoads(w.Loads), r.decodeSuspects(w.Suspects))
 }
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -13,10 +13,17 @@
 	Status           string        `json:"status"`
 	Incarnation      int64         `json:"incarnation"`
 	Revision         int64         `json:"revision"`
+	Ready            bool          `json:"ready"`
 	RequestsInFlight int           `json:"requestsInFlight"`
 	ReportAge        time.Duration `json:"reportAge"`
 }
 
+func (s *HostState) take(report *Report) {
+	s.Revision = report.Revision
+	s.Ready = report.Ready
+	s.RequestsInFlight = report.RequestsInFlight
+}
+
 // Hosts returns the number of live entry hosts, this one included.
 func (g *Group) Hosts() int {
 	g.mu.Lock()
@@ -34,9 +41,9 @@
 	for _, m := range g.table.Members() {
 		state := HostState{Name: m.Name, FailureDomain: m.FailureDomain, Status: m.Status.String(), Incarnation: m.Incarnation}
 		if m.Name == g.Self.Name {
-			state.Revision, state.RequestsInFlight = own.Revision, own.RequestsInFlight
+			state.take(&own)
 		} else if told, ok := g.reports[m.Name]; ok {
-			state.Revision, state.RequestsInFlight = told.report.Revision, told.report.RequestsInFlight
+			state.take(&told.report)
 			state.ReportAge = now.Sub(told.at)
 		}
 		states = append(states, state)
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,127 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/platform"
+	"sassafrasplank.example/sassafrasplank/internal/standin"
+)
+
+func newClient(url string, c clock.Clock) *platform.Client {
+	return &platform.Client{
+		HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, TableURL: url, ObjectURL: url, HostListURL: url, Timeout: time.Second,
+		Breaker: &platform.Breaker{Clock: c, Failures: 3, Pause: time.Minute},
+	}
+}
+
+func transaction(key string) platform.Transaction {
+	return platform.Transaction{
+		Conditions: []platform.Condition{{Table: "t", Key: key}},
+		Writes:     []platform.Write{{Table: "t", Key: key, Value: []byte(`1`)}},
+	}
+}
+
+// Each fault of a commit ends in the error that tells what is known of it.
+func TestCommitErrors(t *testing.T) {
+	stand := standin.NewPlatform(clock.System{})
+	server := httptest.NewServer(stand.Handler())
+	defer server.Close()
+	ctx := context.Background()
+	cases := []struct {
+		name    string
+		faults  standin.PlatformFaults
+		key     string
+		want    error
+		applied bool
+	}{
+		{name: "answered", key: "a", applied: true},
+		{name: "conflict", key: "a", want: &platform.ConflictError{}, applied: true},
+		{name: "down", key: "b", faults: standin.PlatformFaults{Down: true}, want: platform.ErrUnavailable},
+		{name: "answer lost", key: "c", faults: standin.PlatformFaults{LoseAnswers: 1}, want: platform.ErrUnknownOutcome, applied: true},
+		{name: "too many calls", key: "d", faults: standin.PlatformFaults{CallsPerSecond: -1}, want: nil, applied: true},
+	}
+	for _, c := range cases {
+		client := newClient(server.URL, clock.System{})
+		stand.SetFaults(c.faults)
+		err := client.Commit(ctx, transaction(c.key))
+		stand.SetFaults(standin.PlatformFaults{})
+		_, found, getErr := client.Get(ctx, "t", c.key)
+		if getErr != nil || found != c.applied {
+			t.Errorf("%s: applied %t, error %v; want %t", c.name, found, getErr, c.applied)
+		}
+		var conflict *platform.ConflictError
+		if errors.As(c.want, &conflict) {
+			if !platform.IsConflict(err) {
+				t.Errorf("%s: got %v, want a conflict", c.name, err)
+			}
+			continue
+		}
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
+	}
+}
+
+// The breaker stops calls after failures in a row and lets one through later.
+func TestBreaker(t *testing.T) {
+	var calls atomic.Int64
+	failing := atomic.Bool{}
+	failing.Store(true)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		if failing.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte(`{}`))
+	}))
+	defer server.Close()
+	c := &clock.Skipping{}
+	client := newClient(server.URL, c)
+	ctx := context.Background()
+	for range 10 {
+		_, _, _ = client.Get(ctx, "t", "k")
+	}
+	if got := calls.Load(); got != 3 {
+		t.Errorf("got %d calls, want 3 before the breaker opens", got)
+	}
+	failing.Store(false)
+	c.Advance(time.Minute)
+	for range 5 {
+		if _, _, err := client.Get(ctx, "t", "k"); err != nil {
+			t.Errorf("after the pause: %v", err)
+		}
+	}
+	if got := calls.Load(); got != 8 {
+		t.Errorf("got %d calls, want all five after the pause", got)
+	}
+}
+
+// A call that the budget doesn't allow within its deadline is not made.
+func TestBudget(t *testing.T) {
+	stand := standin.NewPlatform(clock.System{})
+	server := httptest.NewServer(stand.Handler())
+	defer server.Close()
+	client := newClient(server.URL, clock.System{})
+	client.Reads = rate.NewLimiter(rate.Limit(0.001), 2)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for i := range 3 {
+		_, _, err := client.Get(ctx, "t", "k")
+		if refused := errors.Is(err, platform.ErrUnavailable); refused != (i == 2) {
+			t.Errorf("call %d: got %v", i+1, err)
+		}
+	}
+	if reads, _ := stand.Counts(); reads != 2 {
+		t.Errorf("got %d reads at the service, want 2", reads)
+	}
+}
--- a/internal/recordstore/follower.go
+++ b/internal/recordstore/follower.go
@@ -118,9 +118,7 @@
 
 // Run follows the records until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	if f.Begin(ctx) != nil {
-		return nil
-	}
+	_ = f.Begin(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/standin/directtable.go
+++ b/internal/standin/directtable.go
@@ -43,6 +43,7 @@
 	}
 	d.Platform.mu.Lock()
 	defer d.Platform.mu.Unlock()
+	d.Platform.reads++
 	row, found := d.Platform.tables[table][key]
 	return row, found, nil
 }
--- /dev/null
+++ b/internal/standin/engine_test.go
@@ -0,0 +1,56 @@
+package standin_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/standin"
+	"sassafrasplank.example/sassafrasplank/internal/target"
+)
+
+// A late order with an old fencing number does no harm: an engine that checks
+// refuses it, and one that doesn't only loads a version besides the others. An
+// old order to import a block that is gone reads nothing.
+func TestOldOrdersDoNoHarm(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		e := &standin.Engine{
+			Name: "e", Clock: clock.System{}, Slots: 1, PrefillRate: 1e6, CachePieces: 10, ChecksFencing: checks,
+			Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Weights: &standin.WeightStore{},
+		}
+		if err := e.Start("127.0.0.1:0", "v1"); err != nil {
+			t.Fatal(err)
+		}
+		host := &standin.StoreHost{Name: "s", Clock: clock.System{}}
+		if err := host.Start("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		client := target.NewClient(time.Second, 1)
+		ctx := context.Background()
+		if err := client.OrderVersion(ctx, e.URL(), target.VersionOrder{Version: "v2", Fence: 5}); err != nil {
+			t.Fatal(err)
+		}
+		err := client.OrderVersion(ctx, e.URL(), target.VersionOrder{Version: "v0", Fence: 3})
+		var refused *target.RefusalError
+		if got := errors.As(err, &refused) && refused.Code == target.CodeStaleFence; got != checks {
+			t.Errorf("checks %t: got %v", checks, err)
+		}
+		report, err := client.Load(ctx, e.URL())
+		if err != nil || !slices.Contains(report.Versions, "v1") || !slices.Contains(report.Versions, "v2") {
+			t.Errorf("checks %t: got versions %v, error %v; want v1 and v2 among them", checks, report.Versions, err)
+		}
+		gone := target.Block{Key: "k", Name: "k-one-1", Generation: 1, Length: 4, Checksum: "c", StoreURL: host.URL()}
+		result, err := client.Import(ctx, e.URL(), target.BlockOrder{Fence: 5, Blocks: []target.Block{gone}})
+		if diff := cmp.Diff([]target.Block{}, result.Blocks); err != nil || diff != "" {
+			t.Errorf("checks %t: import of a block that is gone: error %v (-want +got):\n%s", checks, err, diff)
+		}
+		e.Stop()
+		host.Stop()
+	}
+}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -55,6 +55,11 @@
 	reader *bufio.Reader
 }
 
+// NewStream reads events from body, one JSON document a line.
+func NewStream(body io.ReadCloser) *Stream {
+	return &Stream{body: body, reader: bufio.NewReaderSize(body, eventBuffer)}
+}
+
 // Next returns the next event. It returns a *BrokenError when the stream ends
 // before its last event.
 func (s *Stream) Next() (RunEvent, error) {
@@ -90,7 +95,7 @@
 		defer drain(response)
 		return nil, refusal(response)
 	}
-	return &Stream{body: response.Body, reader: bufio.NewReaderSize(response.Body, eventBuffer)}, nil
+	return NewStream(response.Body), nil
 }
 
 // Cancel tells an engine to stop one attempt.
