--- a/internal/booking/desk.go
+++ b/internal/booking/desk.go
@@ -16,6 +16,7 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/common/wait"
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/target"
 )
@@ -59,19 +60,7 @@
 }
 
 // Drain waits until all outcomes are recorded or ctx ends.
-func (d *Desk) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		d.settling.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (d *Desk) Drain(ctx context.Context) error { return wait.Group(ctx, &d.settling) }
 
 // Request names one booking.
 type Request struct {
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -153,9 +153,9 @@
 	for _, load := range loads[:min(loadsTold, len(loads))] {
 		report.Loads = append(report.Loads, peer.TargetLoad(load))
 	}
-	d.suspects.All(now, func(fingerprint string, crashes int) {
+	d.suspects.All(now, func(fingerprint string, crashes int, age time.Duration) {
 		if len(report.Suspects) < suspectsTold {
-			report.Suspects = append(report.Suspects, peer.Suspect{Fingerprint: fingerprint, Crashes: crashes})
+			report.Suspects = append(report.Suspects, peer.Suspect{Fingerprint: fingerprint, Crashes: crashes, Age: age})
 		}
 	})
 	return report
@@ -174,6 +174,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range suspects {
-		d.suspects.Merge(now, s.Fingerprint, s.Crashes)
+		d.suspects.Merge(now, s.Fingerprint, s.Crashes, s.Age)
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -18,6 +18,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/admission"
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/common/wait"
 	"sassafrasplank.example/sassafrasplank/internal/config"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/lengths"
@@ -202,17 +203,7 @@
 	d.mu.Lock()
 	d.stopping = true
 	d.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		d.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.Group(ctx, &d.running)
 }
 
 // begin counts a request as running unless the host stops.
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -72,6 +72,9 @@
 	}
 	defer func() { d.release(r.job, r.actualWork()) }()
 	if err := r.generate(ctx); err != nil {
+		if r.tokens > 0 {
+			d.countPlacement(r, true)
+		}
 		return r.usage(), err
 	}
 	d.finish(r)
@@ -196,8 +199,8 @@
 	return best
 }
 
-// finish counts a whole answer and learns from it.
-func (d *Dispatcher) finish(r *run) {
+// countPlacement counts an answer once, however many targets gave parts of it.
+func (d *Dispatcher) countPlacement(r *run, partial bool) {
 	d.Ledger.Add(ledger.Row{
 		RequestID:     r.id,
 		ClientAccount: r.request.Account,
@@ -207,8 +210,14 @@
 		PromptTokens:  r.request.PromptTokens,
 		AnswerTokens:  r.tokens,
 		ReusedTokens:  r.reused,
+		Partial:       partial,
 		At:            d.Clock.Now(),
 	})
+}
+
+// finish counts a whole answer and learns from it.
+func (d *Dispatcher) finish(r *run) {
+	d.countPlacement(r, false)
 	d.mu.Lock()
 	d.lengths.Observe(r.request.Account, r.generation.MaxTokens, r.tokens)
 	d.suspects.Cleared(r.fingerprint)
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -221,6 +221,24 @@
 	})
 }
 
+// An answer that ends early after some tokens is counted once, as partial, and
+// its error says that it may have run.
+func TestPartialAnswerIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engines{}
+		e.run = func(_ context.Context, _ string, run *target.RunRequest, w io.Writer) error {
+			if run.DeliveredTokens == 0 {
+				_ = json.NewEncoder(w).Encode(target.RunEvent{RequestID: run.RequestID, Attempt: run.Attempt, Index: 0, Text: "0"})
+			}
+			return io.ErrUnexpectedEOF
+		}
+		got := generate(t, e)
+		if got.err == nil || failure.From(got.err).NotRun || len(got.rows) != 1 || !got.rows[0].Partial || got.rows[0].AnswerTokens != 1 {
+			t.Errorf("got error %v, rows %+v; want an error that may have run and one partial row of one token", got.err, got.rows)
+		}
+	})
+}
+
 // Refusals by all targets that did no work end in a refusal that says so; one
 // target that may have worked changes that.
 func TestNotRunIsTrue(t *testing.T) {
--- a/internal/dispatch/log.go
+++ b/internal/dispatch/log.go
@@ -30,10 +30,10 @@
 
 // MarshalObject writes the parts of one estimate in seconds and tokens.
 func (c candidate) MarshalObject(e *log.Entry) {
-	e.Float64("wait", c.est.Wait).
-		Float64("import", c.est.Import).
-		Float64("prefill", c.est.Prefill).
-		Float64("penalty", c.est.Penalty).
+	e.Float64("waitSeconds", c.est.Wait).
+		Float64("importSeconds", c.est.Import).
+		Float64("prefillSeconds", c.est.Prefill).
+		Float64("penaltySeconds", c.est.Penalty).
 		Float64("slowness", c.est.Slowness).
 		Int("reusedTokens", c.est.ReusedTokens).
 		Int("importedTokens", c.est.ImportedTokens)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -170,6 +170,7 @@
 // win makes an attempt the one that answers and cancels the others.
 func (r *run) win(now time.Time, at *attempt) {
 	r.winner = at
+	r.lastTarget = at.ticket.Target
 	r.lastToken = now
 	r.d.mu.Lock()
 	r.d.board.FirstToken(now, &at.ticket)
@@ -206,7 +207,6 @@
 	r.done = true
 	r.finish = event.FinishReason
 	r.reused = event.ReusedTokens
-	r.lastTarget = at.ticket.Target
 	if !r.begun {
 		r.begun = true
 		return r.sink.Begin(r.id, r.request.Version)
--- a/internal/ledger/batch.go
+++ b/internal/ledger/batch.go
@@ -1,11 +1,10 @@
 package ledger
 
 import (
-	"bytes"
-	"compress/flate"
 	"encoding/json"
 	"fmt"
-	"io"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/packed"
 )
 
 // maxBatchBytes bounds an unpacked batch.
@@ -33,18 +32,11 @@
 
 // MarshalJSON packs the batch.
 func (b *Batch) MarshalJSON() ([]byte, error) {
-	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	rows, err := packed.Encode(b.Rows)
 	if err != nil {
 		return nil, err
 	}
-	if err := json.NewEncoder(w).Encode(b.Rows); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return json.Marshal(packedBatch{Host: b.Host, Incarnation: b.Incarnation, Number: b.Number, Packed: packed.Bytes()})
+	return json.Marshal(packedBatch{Host: b.Host, Incarnation: b.Incarnation, Number: b.Number, Packed: rows})
 }
 
 // UnmarshalJSON unpacks a batch and checks it.
@@ -56,9 +48,8 @@
 	if stored.Host == "" || stored.Incarnation < 1 || stored.Number < 1 {
 		return fmt.Errorf("ledger batch: want host, incarnation and number, got %q/%d/%d", stored.Host, stored.Incarnation, stored.Number)
 	}
-	unpacked := io.LimitReader(flate.NewReader(bytes.NewReader(stored.Packed)), maxBatchBytes)
 	var rows []Row
-	if err := json.NewDecoder(unpacked).Decode(&rows); err != nil {
+	if err := packed.Decode(stored.Packed, maxBatchBytes, &rows); err != nil {
 		return fmt.Errorf("ledger batch %s/%d/%d: %w", stored.Host, stored.Incarnation, stored.Number, err)
 	}
 	b.Host, b.Incarnation, b.Number, b.Rows = stored.Host, stored.Incarnation, stored.Number, rows
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -198,9 +198,11 @@
 	ClientAccount string `json:"clientAccount"`
 	Model         string `json:"model"`
 	Placements    int    `json:"placements"`
-	PromptTokens  int    `json:"promptTokens"`
-	AnswerTokens  int    `json:"answerTokens"`
-	ReusedTokens  int    `json:"reusedTokens"`
+	// Partial counts those of the placements whose answer ended early.
+	Partial      int `json:"partial"`
+	PromptTokens int `json:"promptTokens"`
+	AnswerTokens int `json:"answerTokens"`
+	ReusedTokens int `json:"reusedTokens"`
 }
 
 // Report is the sum of the whole ledger.
@@ -257,6 +259,9 @@
 			totals[key] = total
 		}
 		total.Placements++
+		if row.Partial {
+			total.Partial++
+		}
 		total.PromptTokens += row.PromptTokens
 		total.AnswerTokens += row.AnswerTokens
 		total.ReusedTokens += row.ReusedTokens
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -147,6 +147,9 @@
 	}
 	for _, seed := range g.Seeds {
 		g.exchange(ctx, "", seed)
+		if err := g.joinAll(ctx, seed); err != nil {
+			g.Log.Warn().Str("part", "peers").Str("seed", seed).Err(err).Msg("peers: seed gives no members")
+		}
 	}
 }
 
@@ -274,7 +277,7 @@
 
 // ReachesMajority reports whether most of the listed and known entry hosts
 // live by the last exchanges of messages.
-func (g *Group) ReachesMajority(time.Duration) bool {
+func (g *Group) ReachesMajority() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	electorate := map[string]bool{g.Self.Name: true}
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -55,6 +55,8 @@
 type Suspect struct {
 	Fingerprint string
 	Crashes     int
+	// Age is the time since the last crash.
+	Age time.Duration
 }
 
 func (r *Report) encode() *wire.Report {
@@ -79,7 +81,7 @@
 		})
 	}
 	for _, s := range r.Suspects {
-		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: s.Fingerprint, Crashes: int32(s.Crashes)})
+		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: s.Fingerprint, Crashes: int32(s.Crashes), AgeMillis: s.Age.Milliseconds()})
 	}
 	return encoded
 }
@@ -132,10 +134,10 @@
 
 func (r *Report) decodeSuspects(suspects []*wire.Suspect) error {
 	for _, s := range suspects {
-		if len(s.Fingerprint) > maxNameBytes || s.Crashes < 0 {
+		if len(s.Fingerprint) > maxNameBytes || s.Crashes < 0 || s.AgeMillis < 0 {
 			return fmt.Errorf("peer report: suspect %.40q is out of range", s.Fingerprint)
 		}
-		r.Suspects = append(r.Suspects, Suspect{Fingerprint: s.Fingerprint, Crashes: int(s.Crashes)})
+		r.Suspects = append(r.Suspects, Suspect{Fingerprint: s.Fingerprint, Crashes: int(s.Crashes), Age: time.Duration(s.AgeMillis) * time.Millisecond})
 	}
 	return nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -77,8 +77,8 @@
 	return &wire.ReleaseBatchResponse{}, nil
 }
 
-// JoinAll learns all members from one peer.
-func (g *Group) JoinAll(ctx context.Context, url string) error {
+// joinAll learns all members from one peer.
+func (g *Group) joinAll(ctx context.Context, url string) error {
 	response, err := wire.NewPeerProtobufClient(url, g.HTTP).Members(ctx, &wire.MembersRequest{})
 	if err != nil {
 		return err
--- a/internal/recordstore/follower.go
+++ b/internal/recordstore/follower.go
@@ -38,9 +38,9 @@
 	// ContactAge returns how long ago any host that this one hears of was in
 	// contact with the table service, and false when none is known.
 	ContactAge() (time.Duration, bool)
-	// ReachesMajority reports whether this host has exchanged messages with
-	// most of the known entry hosts within a time.
-	ReachesMajority(within time.Duration) bool
+	// ReachesMajority reports whether most of the known entry hosts live by
+	// what this host hears.
+	ReachesMajority() bool
 }
 
 // Follower keeps the records in force on this host. The exported fields are
@@ -91,7 +91,7 @@
 	if age, known := f.Peers.ContactAge(); known && age < f.CutOffAfter && f.Peers.HighestRevision() <= f.Current().Revision {
 		return true
 	}
-	return f.Peers.ReachesMajority(f.CutOffAfter) && f.Peers.HighestRevision() <= f.Current().Revision
+	return f.Peers.ReachesMajority() && f.Peers.HighestRevision() <= f.Current().Revision
 }
 
 // ContactAge returns how long ago the table service told the revision.
@@ -152,7 +152,7 @@
 		return
 	}
 	f.Log.Warn().Str("part", "records").Err(err).Msg("records: table service gives no records, asking peers")
-	if !f.Peers.ReachesMajority(f.CutOffAfter) {
+	if !f.Peers.ReachesMajority() {
 		return
 	}
 	catchup, err := f.Peers.Catchup(ctx, 0)
--- a/internal/recordstore/snapshot.go
+++ b/internal/recordstore/snapshot.go
@@ -1,17 +1,14 @@
 package recordstore
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/packed"
 )
 
 const (
@@ -61,7 +58,7 @@
 		s.written = known.Revision
 		return
 	}
-	data, err := packSnapshot(Catchup{Revision: set.Revision, Whole: true, Changes: set.Changes()})
+	data, err := packed.Encode(Catchup{Revision: set.Revision, Whole: true, Changes: set.Changes()})
 	if err == nil {
 		err = s.Objects.PutObject(ctx, snapshotObject, data)
 	}
@@ -73,21 +70,6 @@
 	s.Log.Info().Str("part", "records").Int64("revision", set.Revision).Int("bytes", len(data)).Msg("records: snapshot written")
 }
 
-func packSnapshot(catchup Catchup) ([]byte, error) {
-	var packed bytes.Buffer
-	w, err := flate.NewWriter(&packed, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if err := json.NewEncoder(w).Encode(catchup); err != nil {
-		return nil, fmt.Errorf("encoding snapshot: %w", err)
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return packed.Bytes(), nil
-}
-
 // readSnapshot reads the snapshot. The history behind it is the table's.
 func readSnapshot(ctx context.Context, objects Objects) (Catchup, error) {
 	var catchup Catchup
@@ -95,9 +77,8 @@
 	if err != nil {
 		return catchup, err
 	}
-	unpacked := io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxSnapshotBytes)
-	if err := json.NewDecoder(unpacked).Decode(&catchup); err != nil {
-		return catchup, fmt.Errorf("decoding snapshot: %w", err)
+	if err := packed.Decode(data, maxSnapshotBytes, &catchup); err != nil {
+		return catchup, fmt.Errorf("reading snapshot: %w", err)
 	}
 	if catchup.Revision < 1 || !catchup.Whole {
 		return catchup, fmt.Errorf("snapshot: want a whole set, got revision %d", catchup.Revision)
--- a/internal/recordstore/writer_test.go
+++ b/internal/recordstore/writer_test.go
@@ -26,7 +26,7 @@
 }
 func (noPeers) HighestRevision() int64            { return 0 }
 func (noPeers) ContactAge() (time.Duration, bool) { return 0, false }
-func (noPeers) ReachesMajority(time.Duration) bool {
+func (noPeers) ReachesMajority() bool {
 	return false
 }
 
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -66,13 +66,13 @@
 	if s.Proven(now.Add(2*time.Minute), "f") {
 		t.Error("still proven after its time")
 	}
-	s.Merge(now, "g", 3)
-	s.Merge(now, "g", 1)
+	s.Merge(now, "g", 3, 0)
+	s.Merge(now, "g", 1, 0)
 	if got := s.Count(now, "g"); got != 3 {
 		t.Errorf("a peer's lower count changed it to %d", got)
 	}
 	s.Lift(now, "g")
-	s.Merge(now.Add(time.Second), "g", 3)
+	s.Merge(now.Add(time.Second), "g", 3, 0)
 	if s.Count(now, "g") != 0 {
 		t.Error("not cleared")
 	}
@@ -80,3 +80,20 @@
 		t.Error("fingerprints of two accounts are the same")
 	}
 }
+
+// Hosts that tell each other of a suspect forget it at the same time, and don't
+// remind each other for ever.
+func TestSuspectsExpireOnAllHosts(t *testing.T) {
+	a := retry.Suspects{Attempts: 2, Keep: time.Minute}
+	b := retry.Suspects{Attempts: 2, Keep: time.Minute}
+	now := time.Unix(1000, 0)
+	a.Crashed(now, "f")
+	for range 90 {
+		now = now.Add(time.Second)
+		a.All(now, func(fingerprint string, crashes int, age time.Duration) { b.Merge(now, fingerprint, crashes, age) })
+		b.All(now, func(fingerprint string, crashes int, age time.Duration) { a.Merge(now, fingerprint, crashes, age) })
+	}
+	if a.Count(now, "f") != 0 || b.Count(now, "f") != 0 {
+		t.Errorf("after 90 s: got counts %d and %d, want none", a.Count(now, "f"), b.Count(now, "f"))
+	}
+}
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -44,17 +44,18 @@
 // number of such targets so far.
 func (s *Suspects) Crashed(now time.Time, fingerprint string) int {
 	crashes := s.Count(now, fingerprint) + 1
-	s.set(now, fingerprint, crashes)
+	s.set(now, fingerprint, crashes, now)
 	return crashes
 }
 
-// Merge takes in the count of another host.
-func (s *Suspects) Merge(now time.Time, fingerprint string, crashes int) {
+// Merge takes in the count of another host, whose last crash was age ago. The
+// age goes with the count, so that hosts don't remind each other for ever.
+func (s *Suspects) Merge(now time.Time, fingerprint string, crashes int, age time.Duration) {
 	if now.Before(s.lifted[fingerprint]) {
 		return
 	}
 	if crashes > s.Count(now, fingerprint) {
-		s.set(now, fingerprint, crashes)
+		s.set(now, fingerprint, crashes, now.Add(-age))
 	}
 }
 
@@ -90,23 +91,23 @@
 	return s.Count(now, fingerprint) > s.Attempts
 }
 
-// All calls f for each fingerprint and its count.
-func (s *Suspects) All(now time.Time, f func(fingerprint string, crashes int)) {
+// All calls f for each fingerprint, its count and the age of its last crash.
+func (s *Suspects) All(now time.Time, f func(fingerprint string, crashes int, age time.Duration)) {
 	for fingerprint, found := range s.counts {
 		if !now.After(found.until) {
-			f(fingerprint, found.crashes)
+			f(fingerprint, found.crashes, s.Keep-found.until.Sub(now))
 		}
 	}
 }
 
-func (s *Suspects) set(now time.Time, fingerprint string, crashes int) {
+func (s *Suspects) set(now time.Time, fingerprint string, crashes int, crashedAt time.Time) {
 	if s.counts == nil {
 		s.counts = map[string]suspect{}
 	}
 	if len(s.counts) >= suspectsKept {
 		s.dropExpired(now)
 	}
-	s.counts[fingerprint] = suspect{crashes: crashes, until: now.Add(s.Keep)}
+	s.counts[fingerprint] = suspect{crashes: crashes, until: crashedAt.Add(s.Keep)}
 }
 
 // dropExpired makes room: first the expired counts, then any one.
