--- a/internal/booking/desk.go
+++ b/internal/booking/desk.go
@@ -36,8 +36,8 @@
 	sendWithin = 5 * time.Second
 )
 
-// Table is the part of the table service that bookings need.
-type Table interface {
+// TableProvider is the part of the table service that bookings need.
+type TableProvider interface {
 	Get(ctx context.Context, table, key string) (platform.Row, bool, error)
 	Scan(ctx context.Context, s platform.Scan) ([]platform.Row, error)
 	Commit(ctx context.Context, tx platform.Transaction) error
@@ -49,7 +49,7 @@
 // Desk runs bookings. The exported fields are set before the first call.
 type Desk struct {
 	Host    string
-	Table   Table
+	Table   TableProvider
 	Clock   clock.Clock
 	Log     *log.Logger
 	KeepFor time.Duration
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -196,7 +196,7 @@
 			QueuePerAccount: 256,
 			QueueWait:       Of(20 * time.Second),
 			FillFactor:      1,
-			ReservePercent:  6,
+			ReservePercent:  6.5,
 		},
 		Placement: Placement{
 			LoadPoll:        Of(500 * time.Millisecond),
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -96,11 +96,7 @@
 	}
 	for _, name := range d.targetNames(set) {
 		load := loads[name]
-		d.board.SetPeerLoad(now, name, placement.PeerLoad{
-			Requests:      load.Requests,
-			PrefillTokens: load.PrefillTokens,
-			Slowness:      load.Slowness,
-		})
+		d.board.SetPeerLoad(now, name, placement.PeerLoad{Requests: load.Requests, PrefillTokens: load.PrefillTokens})
 	}
 	d.shareLimits(now)
 	d.admitReady(now)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -42,8 +42,8 @@
 	finishedBacklog = 256
 )
 
-// TargetClient carries out calls to targets.
-type TargetClient interface {
+// TargetCaller carries out calls to targets.
+type TargetCaller interface {
 	Run(ctx context.Context, url string, run *target.RunRequest) (*target.Stream, error)
 	Cancel(ctx context.Context, url, requestID string, attempt int) error
 	Load(ctx context.Context, url string) (target.LoadReport, error)
@@ -54,8 +54,8 @@
 	Call(ctx context.Context, method, url string, header http.Header, body []byte, repeatable bool) (target.ServiceAnswer, error)
 }
 
-// StoreClient carries out calls to store hosts.
-type StoreClient interface {
+// StoreCaller carries out calls to store hosts.
+type StoreCaller interface {
 	List(ctx context.Context, url string, after store.Cursor) (store.Listing, error)
 	PutCommit(ctx context.Context, url string, commit store.Commit) error
 	DeleteCommit(ctx context.Context, url, name string) error
@@ -105,8 +105,8 @@
 	Incarnation int64
 	Config      config.Config
 	Clock       clock.Clock
-	Targets     TargetClient
-	Stores      StoreClient
+	Targets     TargetCaller
+	Stores      StoreCaller
 	Records     RecordProvider
 	Peers       PeerProvider
 	Ledger      LedgerWriter
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -43,7 +43,7 @@
 type run struct {
 	d           *Dispatcher
 	generation  *Generation
-	sink        Sink
+	sink        AnswerWriter
 	id          string
 	startedAt   time.Time
 	fingerprint string
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -19,14 +19,14 @@
 	scanPage    = 200
 )
 
-// Table is the part of the table service that the ledger needs.
-type Table interface {
+// TableProvider is the part of the table service that the ledger needs.
+type TableProvider interface {
 	Scan(ctx context.Context, s platform.Scan) ([]platform.Row, error)
 	Commit(ctx context.Context, tx platform.Transaction) error
 }
 
-// Mirror keeps a copy of sealed batches on another host.
-type Mirror interface {
+// BatchKeeper keeps a copy of sealed batches on another host.
+type BatchKeeper interface {
 	// Keep hands a batch that isn't written yet to another host.
 	Keep(ctx context.Context, batch *Batch) error
 	// Release tells the other host that the batch is written.
@@ -38,7 +38,7 @@
 type Writer struct {
 	Host        string
 	Incarnation int64
-	Table       Table
+	Table       TableProvider
 	Clock       clock.Clock
 	Log         *log.Logger
 	FlushEvery  time.Duration
@@ -49,7 +49,7 @@
 	BatchRows       int
 	BufferRows      int
 	// Mirror may be nil.
-	Mirror Mirror
+	Mirror BatchKeeper
 
 	mu       sync.Mutex
 	open     []Row
@@ -178,7 +178,7 @@
 
 // WriteBatch writes a batch if it isn't there already. Any host may write any
 // batch any number of times.
-func WriteBatch(ctx context.Context, table Table, batch *Batch) error {
+func WriteBatch(ctx context.Context, table TableProvider, batch *Batch) error {
 	data, err := json.Marshal(batch)
 	if err != nil {
 		return fmt.Errorf("encoding ledger batch: %w", err)
@@ -215,7 +215,7 @@
 }
 
 // Sum reads all batches and sums them per client account and model.
-func Sum(ctx context.Context, table Table) (Report, error) {
+func Sum(ctx context.Context, table TableProvider) (Report, error) {
 	var report Report
 	totals := map[string]*Total{}
 	seen := map[string]bool{}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -57,7 +57,7 @@
 	Records RecordProvider
 	Writer  RecordWriter
 	Group   GroupProvider
-	Ledger  ledger.Table
+	Ledger  ledger.TableProvider
 	Metrics metrics.Registry
 	// Ready reports whether the balancer may send requests to this host.
 	Ready func() bool
--- a/internal/peer/batches.go
+++ b/internal/peer/batches.go
@@ -20,7 +20,7 @@
 )
 
 // LedgerTable is the part of the table service that the ledger needs.
-type LedgerTable = ledger.Table
+type LedgerTable = ledger.TableProvider
 
 // keptBatches holds copies of other hosts' ledger batches.
 type keptBatches struct {
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -38,8 +38,8 @@
 	Hosts(ctx context.Context) ([]platform.Host, error)
 }
 
-// Local gives what this host tells its peers and takes what they tell.
-type Local interface {
+// LocalProvider gives what this host tells its peers and takes what they tell.
+type LocalProvider interface {
 	// PeerReport describes this host. Revisions are filled in by the Group.
 	PeerReport() Report
 	// MergeSuspects takes in the suspects of a peer.
@@ -48,8 +48,8 @@
 	TargetLeaving(name string)
 }
 
-// Records gives and follows the records in force.
-type Records interface {
+// RecordFollower gives and follows the records in force.
+type RecordFollower interface {
 	Current() *record.Set
 	ContactAge() (time.Duration, bool)
 	CatchupFor(since int64) recordstore.Catchup
@@ -68,8 +68,8 @@
 	Clock    clock.Clock
 	Log      *log.Logger
 	HTTP     *http.Client
-	Local    Local
-	Records  Records
+	Local    LocalProvider
+	Records  RecordFollower
 	Ledger   LedgerTable
 	// Ready tells whether the balancer may send requests to this host.
 	Ready func() bool
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -58,6 +58,21 @@
 	ring     *ring
 	median   float64
 	medianAt time.Time
+	// lateness is the usual ratio of measured to expected first tokens. It is
+	// above one when other hosts cause waits that this one doesn't know of.
+	lateness float64
+}
+
+// Bounds and weight of the usual lateness.
+const (
+	latenessWeight = 0.02
+	mostLateness   = 5
+)
+
+// observeFirst takes the measured time of a first token into the usual ratio.
+func (p *pool) observeFirst(measured, expected time.Duration) {
+	ratio := min(mostLateness, float64(measured)/float64(expected))
+	p.lateness = max(1, p.lateness+(ratio-p.lateness)*latenessWeight)
 }
 
 // NewBoard returns a board without engines.
@@ -119,9 +134,13 @@
 			members[model] = append(members[model], e)
 		}
 	}
+	former := b.pools
 	b.pools = make(map[string]*pool, len(members))
 	for model, engines := range members {
-		b.pools[model] = &pool{engines: engines, ring: newRing(engines), median: 1}
+		b.pools[model] = &pool{engines: engines, ring: newRing(engines), median: 1, lateness: 1}
+		if known := former[model]; known != nil {
+			b.pools[model].lateness = known.lateness
+		}
 	}
 }
 
@@ -182,8 +201,6 @@
 type PeerLoad struct {
 	Requests      int
 	PrefillTokens float64
-	// Slowness is the highest score that a peer measured, zero if none did.
-	Slowness float64
 }
 
 // SetPeerLoad notes what the other entry hosts tell of a target.
@@ -191,7 +208,6 @@
 	if e := b.find(target); e != nil {
 		e.peerInFlight = load.Requests
 		e.peerPrefill = load.PrefillTokens
-		e.peerSlow = load.Slowness
 		e.notePeak(now)
 	}
 }
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -96,6 +96,7 @@
 	Long          bool
 	Suspect       bool
 
+	pool       *pool
 	number     int32
 	prefill    float64
 	prefilling bool
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -57,7 +57,6 @@
 	prefillTokens float64
 	peerInFlight  int
 	peerPrefill   float64
-	peerSlow      float64
 	external      int
 	peakInFlight  int
 	peakAt        time.Time
@@ -82,16 +81,12 @@
 	return slices.Contains(e.versions, version)
 }
 
-// peerTrust is the weight of a slowness that only a peer has measured.
-const peerTrust = 0.5
-
-// slowness returns the score of the engine by this host's and its peers'
-// measurements.
+// slowness returns the score of the engine by this host's own measurements.
 func (e *engine) slowness(now time.Time) float64 {
 	if ratio, ok := e.tokens.Window(now, e.spec.TokenGap); ok {
 		e.slow.ObserveRate(now, ratio)
 	}
-	return max(e.slow.Score(now), 1+(e.peerSlow-1)*peerTrust)
+	return e.slow.Score(now)
 }
 
 // report takes in a load report. Requests that this host and its peers have
--- a/internal/placement/fake_test.go
+++ b/internal/placement/fake_test.go
@@ -95,6 +95,7 @@
 	computing bool
 	cache     map[prefix.Key]int
 	uses      int
+	added     func(prefix.Key)
 	removed   func(prefix.Key)
 }
 
@@ -215,6 +216,9 @@
 func (e *fakeEngine) keep(chain []prefix.Key) {
 	e.uses++
 	for _, key := range chain {
+		if _, known := e.cache[key]; !known {
+			e.added(key)
+		}
 		e.cache[key] = e.uses
 	}
 	over := len(e.cache) - e.cacheSize
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -23,6 +23,7 @@
 		TokenGap:      e.spec.TokenGap,
 		Long:          req.Long,
 		Suspect:       req.Suspect,
+		pool:          b.pools[req.Model],
 		number:        e.number,
 		prefill:       float64(max(0, recomputed)),
 		prefilling:    true,
@@ -56,7 +57,9 @@
 	b.clearSuspect(e, t)
 	t.decoding = true
 	e.tokens.Streams(now, e.spec.TokenGap, 1)
-	e.slow.Observe(now, now.Sub(t.PlacedAt), max(t.ExpectedFirst, minimumExpected))
+	measured := now.Sub(t.PlacedAt)
+	e.slow.Observe(now, measured, t.usualFirst())
+	t.pool.observeFirst(measured, max(t.ExpectedFirst, minimumExpected))
 }
 
 // HedgeDue reports whether a request waits so long for its first token that a
@@ -67,7 +70,7 @@
 		return false
 	}
 	e := b.engines[t.number]
-	expected := max(t.ExpectedFirst, minimumExpected)
+	expected := t.usualFirst()
 	elapsed := now.Sub(t.PlacedAt)
 	if elapsed > expected*pendingFactor {
 		e.slow.ObservePending(now, elapsed, expected)
@@ -139,3 +142,9 @@
 		e.suspects--
 	}
 }
+
+// usualFirst returns the expected time to the first token with the lateness that
+// is usual in the pool.
+func (t *Ticket) usualFirst() time.Duration {
+	return time.Duration(float64(max(t.ExpectedFirst, minimumExpected)) * t.pool.lateness)
+}
--- a/internal/recordstore/entry.go
+++ b/internal/recordstore/entry.go
@@ -23,8 +23,8 @@
 
 const scanPage = 500
 
-// Table is the part of the table service that records need.
-type Table interface {
+// TableProvider is the part of the table service that records need.
+type TableProvider interface {
 	Get(ctx context.Context, table, key string) (platform.Row, bool, error)
 	Scan(ctx context.Context, s platform.Scan) ([]platform.Row, error)
 	Commit(ctx context.Context, tx platform.Transaction) error
--- a/internal/recordstore/follower.go
+++ b/internal/recordstore/follower.go
@@ -29,8 +29,8 @@
 	Changes  []record.Change `json:"changes"`
 }
 
-// PeerSource asks other entry hosts for records.
-type PeerSource interface {
+// PeerProvider asks other entry hosts for records.
+type PeerProvider interface {
 	// Catchup asks a peer that knows more than the revision.
 	Catchup(ctx context.Context, since int64) (Catchup, error)
 	// HighestRevision returns the highest revision that peers have told of.
@@ -46,10 +46,10 @@
 // Follower keeps the records in force on this host. The exported fields are
 // set before Run.
 type Follower struct {
-	Table Table
+	Table TableProvider
 	// Objects may hold a snapshot of the records; it may be nil.
-	Objects     Objects
-	Peers       PeerSource
+	Objects     ObjectProvider
+	Peers       PeerProvider
 	Clock       clock.Clock
 	Log         *log.Logger
 	Poll        time.Duration
--- a/internal/recordstore/snapshot.go
+++ b/internal/recordstore/snapshot.go
@@ -20,8 +20,8 @@
 	maxSnapshotBytes = 64 << 20
 )
 
-// Objects is the part of the object store that records need.
-type Objects interface {
+// ObjectProvider is the part of the object store that records need.
+type ObjectProvider interface {
 	PutObject(ctx context.Context, name string, data []byte) error
 	GetObject(ctx context.Context, name string) ([]byte, error)
 }
@@ -31,7 +31,7 @@
 // writes it; two that both think it is theirs do no harm. The exported fields
 // are set before Run.
 type Snapshots struct {
-	Objects  Objects
+	Objects  ObjectProvider
 	Follower *Follower
 	Clock    clock.Clock
 	Log      *log.Logger
@@ -71,7 +71,7 @@
 }
 
 // readSnapshot reads the snapshot. The history behind it is the table's.
-func readSnapshot(ctx context.Context, objects Objects) (Catchup, error) {
+func readSnapshot(ctx context.Context, objects ObjectProvider) (Catchup, error) {
 	var catchup Catchup
 	data, err := objects.GetObject(ctx, snapshotObject)
 	if err != nil {
--- a/internal/recordstore/writer.go
+++ b/internal/recordstore/writer.go
@@ -52,7 +52,7 @@
 
 // Writer changes records. The exported fields are set before the first call.
 type Writer struct {
-	Table    Table
+	Table    TableProvider
 	Follower *Follower
 	Clock    clock.Clock
 }
--- a/internal/slowness/tokenrate.go
+++ b/internal/slowness/tokenrate.go
@@ -3,10 +3,9 @@
 import "time"
 
 const (
-	// rateWindow is the time over which the tokens of a target are counted.
+	// rateWindow is the least time over which the tokens of a target are counted.
 	rateWindow = 100 * time.Millisecond
-	// leastTokens is the number of expected tokens below which a window tells
-	// nothing.
+	// leastTokens is the number of expected tokens below which a window goes on.
 	leastTokens = 4
 )
 
@@ -33,16 +32,13 @@
 // ratio of expected to delivered tokens and whether the window tells anything.
 func (t *TokenRate) Window(now time.Time, gap time.Duration) (ratio float64, ok bool) {
 	t.advance(now, gap)
-	if now.Sub(t.start) < rateWindow {
+	if now.Sub(t.start) < rateWindow || t.expected < leastTokens {
 		return 0, false
 	}
 	expected, counted := t.expected, t.counted
 	t.start = now
 	t.expected = 0
 	t.counted = 0
-	if expected < leastTokens {
-		return 0, false
-	}
 	return expected / max(1, float64(counted)), true
 }
 
