Let the home of a pool admit and place for all entry hosts

Cause: hosts that each place by their own view collide, since they hear of each other's placements up to 2 s late while a short prefill takes 50 to 150 ms. The users have eight or nine such hosts.

Changed: the live host with the highest hash for a pool of engines decides for all. A host asks in one call, tells first tokens and ends within 1 ms, and decides by its own view, with an equal part of the capacity, when the home is silent.

Ruled out: fresher reports and passing whole requests on (docs/design).

--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -86,7 +86,7 @@
 	if !fresh || total <= 0 {
 		return equal
 	}
-	const kept = 0.1
+	const kept = 0.02
 	return kept*equal + (1-kept)*own/total
 }
 
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -98,6 +98,7 @@
 		load := loads[name]
 		d.board.SetPeerLoad(now, name, placement.PeerLoad{Requests: load.Requests, PrefillTokens: load.PrefillTokens})
 	}
+	d.endLapsedJobs(now)
 	d.shareLimits(now)
 	d.admitReady(now)
 }
@@ -114,12 +115,14 @@
 		tokens[demand.Account] = demand
 	}
 	peers, fresh := d.Peers.InFlight()
+	fresh = fresh && now.After(d.aloneUntil)
 	share := admission.Share(float64(own), float64(own+peers), hosts, fresh)
 	capacity := float64(d.board.Slots()) * d.Config.Admission.FillFactor * share
 	d.queue.SetCapacity(int(math.Ceil(capacity)))
 	for name, account := range d.Records.Current().Accounts {
 		mine := tokens[name]
 		theirs, inFlight, fresh := d.Peers.AccountDemand(name)
+		fresh = fresh && now.After(d.aloneUntil)
 		limits := admission.Limits{}
 		if account.Limits.TokensPerSecond > 0 {
 			part := admission.Share(mine.TokensPerSecond, mine.TokensPerSecond+theirs, hosts, fresh)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -6,6 +6,7 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/target"
 )
@@ -23,7 +24,12 @@
 	url      string
 	ticket   placement.Ticket
 	decision placement.Decision
-	cancel   context.CancelFunc
+	// delivered is set once the attempt has delivered a token.
+	delivered bool
+	// home and homeTicket name the decision at another host, if it made it.
+	home       string
+	homeTicket int64
+	cancel     context.CancelFunc
 }
 
 // attemptEvent is what an attempt tells its run.
@@ -61,16 +67,12 @@
 func (r *run) start(ctx context.Context, action string) (bool, placement.Reason) {
 	set := r.d.Records.Current()
 	at := &attempt{}
-	now := r.d.Clock.Now()
-	r.d.mu.Lock()
-	r.d.board.Place(now, &r.request, &at.decision)
+	r.place(ctx, at)
 	spec := set.Targets[at.decision.Target]
 	if spec == nil {
-		r.d.mu.Unlock()
+		r.undo(at)
 		return false, at.decision.Reason
 	}
-	at.ticket = r.d.board.Start(now, &r.request, &at.decision)
-	r.d.mu.Unlock()
 	r.attempts++
 	at.number = r.attempts
 	at.url = spec.URL
@@ -83,6 +85,14 @@
 	return true, at.decision.Reason
 }
 
+// undo ends the ticket of an attempt, at the home of the pool and here.
+func (r *run) undo(at *attempt) {
+	r.d.observer.note(at, func(known *wire.Observation) { known.Ended = true })
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	r.d.board.Finish(r.d.Clock.Now(), &at.ticket)
+}
+
 func (r *run) runRequest(at *attempt) *target.RunRequest {
 	keys := make([]string, len(r.request.Chain))
 	for i, key := range r.request.Chain {
@@ -109,7 +119,7 @@
 	switch {
 	case r.request.Long:
 		return priorityLong
-	case r.job.InShare():
+	case r.inShare || r.job.InShare():
 		return priorityInShare
 	default:
 		return priorityOver
@@ -150,9 +160,7 @@
 // end takes an attempt off the board.
 func (r *run) end(at *attempt) {
 	delete(r.active, at.number)
-	r.d.mu.Lock()
-	defer r.d.mu.Unlock()
-	r.d.board.Finish(r.d.Clock.Now(), &at.ticket)
+	r.undo(at)
 }
 
 // cancel stops an attempt that lost and tells its target.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,6 +23,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/lengths"
 	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/retention"
 	"sassafrasplank.example/sassafrasplank/internal/retry"
@@ -95,6 +96,13 @@
 	// AccountDemand returns the demand of all peers for an account and whether
 	// the reports are fresh.
 	AccountDemand(account string) (tokensPerSecond float64, inFlight int, fresh bool)
+	// PoolHome returns the URL of the host that decides for a pool, and false
+	// when this host does.
+	PoolHome(pool string) (url string, ok bool)
+	// Decide asks the home of a pool for a decision.
+	Decide(ctx context.Context, url string, request *wire.DecideRequest) (*wire.DecideResponse, error)
+	// Observe tells the home of a pool what became of its decisions.
+	Observe(ctx context.Context, url string, request *wire.ObserveRequest) error
 	// IsHome reports whether this host is the one to look after a name.
 	IsHome(name string) bool
 }
@@ -129,6 +137,15 @@
 	// applied are the records that the board was last given.
 	applied *record.Set
 
+	// homeJobs are the jobs of other hosts that this one decides for.
+	homeJobs map[int64]*homeJob
+	observer *observer
+	// pools names the pool of each model.
+	pools map[string]string
+	// aloneUntil is the time until which this host keeps an equal part of the
+	// capacity, since a home of a pool gave no answer.
+	aloneUntil time.Time
+
 	directory  *store.Directory
 	finished   chan finishedPrompt
 	generation atomic.Int64
@@ -173,6 +190,8 @@
 		MinimumReuseRatio: cfg.Retention.MinimumReuseRatio,
 	})
 	d.pinned = map[string]string{}
+	d.homeJobs = map[int64]*homeJob{}
+	d.observer = newObserver()
 	d.applied = record.NewSet()
 	d.directory = &store.Directory{FreshFor: freshFor, ReadLimit: readLimit, Grace: cfg.Retention.FreeGrace.Duration}
 	d.finished = make(chan finishedPrompt, finishedBacklog)
@@ -193,6 +212,7 @@
 	every(storeFreeEvery, d.freeBlocks)
 	every(versionEvery, d.loadVersions)
 	every(tickEvery, d.tick)
+	duties.Go(func() { d.watchObserver(ctx) })
 	duties.Go(func() { d.keepFinished(ctx) })
 	duties.Wait()
 	return nil
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -67,10 +67,10 @@
 	if err != nil {
 		return Usage{}, err
 	}
-	if err := d.acquire(ctx, r.job); err != nil {
+	if err := r.admit(ctx); err != nil {
 		return Usage{}, err
 	}
-	defer func() { d.release(r.job, r.actualWork()) }()
+	defer r.leave()
 	if err := r.generate(ctx); err != nil {
 		if r.tokens > 0 {
 			d.countPlacement(r, true)
@@ -123,6 +123,7 @@
 		return nil, failure.NotRun(http.StatusUnprocessableEntity, failure.CrashesTargets,
 			"targets died while they ran this request; fingerprint %s", r.fingerprint)
 	}
+	r.poolName = d.pools[g.Model]
 	answerTokens := d.lengths.Estimate(g.Account, g.MaxTokens)
 	seed := prefix.Seed(g.Account, g.Model, version)
 	r.request = placement.Request{
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,6 +23,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/dispatch"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/store"
 	"sassafrasplank.example/sassafrasplank/internal/target"
 	"sassafrasplank.example/sassafrasplank/pkg/record"
@@ -81,15 +83,20 @@
 	rows []ledger.Row
 }
 
-func (s *surroundings) Current() *record.Set                                    { return s.set }
-func (s *surroundings) Defensible() bool                                        { return true }
-func (s *surroundings) Full() bool                                              { return false }
-func (s *surroundings) Hosts() int                                              { return 1 }
-func (s *surroundings) Loads() map[string]peer.TargetLoad                       { return nil }
-func (s *surroundings) InFlight() (int, bool)                                   { return 0, true }
-func (s *surroundings) AccountDemand(string) (float64, int, bool)               { return 0, 0, true }
-func (s *surroundings) IsHome(string) bool                                      { return false }
-func (s *surroundings) Refuse(context.Context, string, string, time.Time) error { return nil }
+func (s *surroundings) Current() *record.Set                      { return s.set }
+func (s *surroundings) Defensible() bool                          { return true }
+func (s *surroundings) Full() bool                                { return false }
+func (s *surroundings) Hosts() int                                { return 1 }
+func (s *surroundings) Loads() map[string]peer.TargetLoad         { return nil }
+func (s *surroundings) InFlight() (int, bool)                     { return 0, true }
+func (s *surroundings) AccountDemand(string) (float64, int, bool) { return 0, 0, true }
+func (s *surroundings) PoolHome(string) (string, bool)            { return "", false }
+func (s *surroundings) Decide(context.Context, string, *wire.DecideRequest) (*wire.DecideResponse, error) {
+	return nil, errors.ErrUnsupported
+}
+func (s *surroundings) Observe(context.Context, string, *wire.ObserveRequest) error { return nil }
+func (s *surroundings) IsHome(string) bool                                          { return false }
+func (s *surroundings) Refuse(context.Context, string, string, time.Time) error     { return nil }
 func (s *surroundings) List(context.Context, string, store.Cursor) (store.Listing, error) {
 	return store.Listing{}, nil
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -10,6 +10,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/admission"
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/target"
 )
@@ -50,6 +51,11 @@
 	request     placement.Request
 	job         *admission.Job
 
+	// pool is the job at the home of the pool, nil when this host decides.
+	pool     *poolJob
+	poolName string
+	inShare  bool
+
 	events   chan attemptEvent
 	active   map[int]*attempt
 	winner   *attempt
@@ -62,8 +68,11 @@
 	reused     int
 	lastTarget string
 	lastToken  time.Time
-	done       bool
-	finish     string
+	hedgeAsked time.Time
+	// diedOn is the target that last died after it had delivered tokens.
+	diedOn string
+	done   bool
+	finish string
 }
 
 func (r *run) usage() Usage {
@@ -152,6 +161,7 @@
 			return r.fail(failure.DeadlineExceeded, "the caller went away: %v", err)
 		}
 	}
+	at.delivered = true
 	r.text.WriteString(event.Text)
 	r.tokens++
 	r.measure(now, at)
@@ -175,6 +185,7 @@
 	r.d.mu.Lock()
 	r.d.board.FirstToken(now, &at.ticket)
 	r.d.mu.Unlock()
+	r.d.observer.firstToken(now, at)
 	for _, other := range r.active {
 		if other != at {
 			r.cancel(other)
@@ -186,10 +197,15 @@
 // the length estimate of a request that runs on.
 func (r *run) measure(now time.Time, at *attempt) {
 	r.lastToken = now
+	turnedLong := r.tokens > r.d.Config.Placement.LongTokens && !r.request.Long
+	r.d.observer.note(at, func(known *wire.Observation) {
+		known.Tokens++
+		known.Long = known.Long || turnedLong
+	})
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
 	r.d.board.Tokens(now, &at.ticket, 1)
-	if r.tokens > r.d.Config.Placement.LongTokens && !r.request.Long {
+	if turnedLong {
 		r.request.Long = true
 		r.d.board.MarkLong(&at.ticket)
 		r.d.queue.MarkLong(r.job)
@@ -232,12 +248,43 @@
 			return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errSilent})
 		}
 	}
+	if r.pool != nil && !r.pool.lost {
+		r.askHedge(ctx, now)
+		return nil
+	}
 	if r.wantsHedge(now) {
 		r.hedge(ctx)
 	}
 	return nil
 }
 
+// askHedge asks the home of the pool whether a late first token calls for a
+// second attempt.
+func (r *run) askHedge(ctx context.Context, now time.Time) {
+	if len(r.active) != 1 || r.attempts >= maxAttempts || now.Sub(r.hedgeAsked) < hedgeAskEvery {
+		return
+	}
+	for _, at := range r.active {
+		if now.Sub(at.ticket.PlacedAt) < max(at.ticket.ExpectedFirst, minimumHedgeAge) {
+			return
+		}
+		r.hedgeAsked = now
+		r.request.Exclude = append(r.request.Exclude, at.ticket.Target)
+		answer := r.askPlace(ctx, at.homeTicket)
+		if answer == nil || answer.Target == "" {
+			r.request.Exclude = r.request.Exclude[:len(r.request.Exclude)-1]
+			return
+		}
+		r.pool.next = answer
+	}
+	r.d.count("attempts.hedges")
+	_, _ = r.start(ctx, "hedge")
+}
+
+// minimumHedgeAge is the age of an attempt before which nobody asks for a second
+// one.
+const minimumHedgeAge = 30 * time.Millisecond
+
 // firstTokenLimit is how long an attempt may take to its first token.
 func (r *run) firstTokenLimit(at *attempt) time.Duration {
 	late := time.Duration(float64(at.ticket.ExpectedFirst) * r.d.Config.Slowness.HedgeRatio)
@@ -306,6 +353,7 @@
 		switch refusal.Code {
 		case target.CodeLeaving:
 			r.d.board.Leaving(r.d.Clock.Now(), at.ticket.Target)
+			r.d.observer.targetGone(at, true)
 			return true, true
 		case target.CodeVersionNotLoaded:
 			return true, true
@@ -315,17 +363,33 @@
 	}
 	if target.NotRun(err) {
 		r.d.board.Unreachable(at.ticket.Target)
+		r.d.observer.targetGone(at, false)
 		return true, true
 	}
 	r.sent = true
 	if !endedHere(err) {
 		r.d.board.Unreachable(at.ticket.Target)
-		r.d.suspects.Crashed(r.d.Clock.Now(), r.fingerprint)
-		r.request.Suspect = true
+		r.d.observer.targetGone(at, false)
+		r.countCrash(at)
 	}
 	return true, false
 }
 
+// countCrash makes the request a suspect of a target's death, unless it had got
+// tokens there and another suspect had not. The lock must be held.
+func (r *run) countCrash(at *attempt) {
+	now := r.d.Clock.Now()
+	if at.delivered && r.d.board.Blamed(now, at.ticket.Target) {
+		return
+	}
+	r.d.suspects.Crashed(now, r.fingerprint)
+	r.request.Suspect = true
+	r.diedOn = ""
+	if at.delivered {
+		r.diedOn = at.ticket.Target
+	}
+}
+
 func (r *run) proven() bool {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -33,6 +33,7 @@
 		engines = append(engines, engineSpec(name, set.Targets[name]))
 	}
 	d.board.SetEngines(now, engines)
+	d.pools = poolNames(set)
 	var links []placement.LinkSpec
 	for _, name := range slices.Sorted(maps.Keys(set.Stores)) {
 		links = append(links, placement.LinkSpec{Store: name, BytesPerSecond: set.Stores[name].LinkBytesPerSecond})
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -44,6 +44,10 @@
 	PeerReport() Report
 	// MergeSuspects takes in the suspects of a peer.
 	MergeSuspects(suspects []Suspect)
+	// DecideFor admits and places a request of another host.
+	DecideFor(ctx context.Context, request *wire.DecideRequest) (*wire.DecideResponse, error)
+	// ObserveFor takes in what became of decisions for another host.
+	ObserveFor(request *wire.ObserveRequest)
 	// TargetLeaving notes that the host list shows a target as leaving.
 	TargetLeaving(name string)
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -98,3 +98,18 @@
 	g.table.Merge(g.Clock.Now(), others)
 	return nil
 }
+
+// Decide admits and places a request of another host.
+func (s *server) Decide(ctx context.Context, request *wire.DecideRequest) (*wire.DecideResponse, error) {
+	response, err := s.group.Local.DecideFor(ctx, request)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return response, nil
+}
+
+// Observe takes in what became of decisions.
+func (s *server) Observe(_ context.Context, request *wire.ObserveRequest) (*wire.ObserveResponse, error) {
+	s.group.Local.ObserveFor(request)
+	return &wire.ObserveResponse{}, nil
+}
--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -173,3 +173,28 @@
 		t.Error("a short request found no slot")
 	}
 }
+
+// The death of a target is put down to the suspect that had no first token yet.
+func TestBlame(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBoard(1, 0, now)
+	var d placement.Decision
+	suspect := &placement.Request{ID: "r", Model: fakeModel, Version: "a", PromptTokens: 10, AnswerTokens: 10, Suspect: true}
+	b.Place(now, suspect, &d)
+	ticket := b.Start(now, suspect, &d)
+	if !b.Blamed(now, d.Target) {
+		t.Error("not blamed while it runs without a first token")
+	}
+	b.Finish(now, &ticket)
+	if !b.Blamed(now.Add(time.Second), engineName(0)) || b.Blamed(now.Add(time.Minute), engineName(0)) {
+		t.Error("want the blame to last a moment after its end")
+	}
+	later := now.Add(time.Minute)
+	b.Place(later, suspect, &d)
+	ticket = b.Start(later, suspect, &d)
+	b.FirstToken(later, &ticket)
+	b.Finish(later, &ticket)
+	if b.Blamed(later, engineName(0)) {
+		t.Error("blamed after its first token")
+	}
+}
--- a/internal/placement/driver_test.go
+++ b/internal/placement/driver_test.go
@@ -18,9 +18,11 @@
 type deployment struct {
 	name    string
 	engines int
+	// oneWay is the time of a message between failure domains.
+	oneWay time.Duration
 }
 
-var deployments = []deployment{{"trust", 12}, {"consortium", 9}}
+var deployments = []deployment{{"trust", 12, 1500 * time.Microsecond}, {"consortium", 9, time.Millisecond}}
 
 const (
 	fakeSlots      = 16
@@ -179,6 +181,9 @@
 type knobs struct {
 	noImport, noReuse, noHedge, noShare, noPriority, noLongCap, noReserve, noRate bool
 	seed                                                                          uint64
+	// decideTime and tellTime are the times of one question to the home of a pool
+	// and of one message to it.
+	decideTime, tellTime time.Duration
 }
 
 // request is one arrival on its way through the policy.
@@ -260,6 +265,14 @@
 }
 
 func (o *ours) arrive(a *arrival, res *result) {
+	if o.knobs.decideTime == 0 {
+		o.decide(a, res)
+		return
+	}
+	o.w.clock.after(o.knobs.decideTime, func() { o.decide(a, res) })
+}
+
+func (o *ours) decide(a *arrival, res *result) {
 	now := o.w.clock.now
 	o.hedges.Earn()
 	answer := o.lengths.Estimate(a.account, a.maxTokens)
@@ -339,8 +352,18 @@
 	}
 }
 
+// told runs a change of the decision state once its news has arrived.
+func (o *ours) told(change func()) {
+	if o.knobs.tellTime == 0 {
+		change()
+		return
+	}
+	o.w.clock.after(o.knobs.tellTime, change)
+}
+
 func (o *ours) first(r *request, t *try) {
-	o.board.FirstToken(o.w.clock.now, &t.ticket)
+	at := o.w.clock.now
+	o.told(func() { o.board.FirstToken(at, &t.ticket) })
 	if r.winner != nil {
 		return
 	}
@@ -349,7 +372,7 @@
 	for _, other := range r.tries {
 		if other != t {
 			other.run.cancelled = true
-			o.board.Finish(o.w.clock.now, &other.ticket)
+			o.told(func() { o.board.Finish(o.w.clock.now, &other.ticket) })
 		}
 	}
 }
@@ -367,8 +390,11 @@
 
 func (o *ours) done(r *request, t *try) {
 	now := o.w.clock.now
-	o.board.Finish(now, &t.ticket)
-	o.queue.Done(r.job, float64(r.a.prompt+8*r.a.answer))
+	o.told(func() {
+		o.board.Finish(now, &t.ticket)
+		o.queue.Done(r.job, float64(r.a.prompt+8*r.a.answer))
+		o.admit()
+	})
 	o.lengths.Observe(r.a.account, r.a.maxTokens, r.a.answer)
 	r.res.answered = true
 	r.res.total = now.Sub(o.w.start) - r.a.at
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -51,9 +51,11 @@
 	leavingAt   time.Time
 	unreachable bool
 
-	inFlight      int
-	long          int
-	suspects      int
+	inFlight int
+	long     int
+	suspects int
+	// suspectLeft is when a suspect last ended without a first token.
+	suspectLeft   time.Time
 	prefillTokens float64
 	peerInFlight  int
 	peerPrefill   float64
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -10,7 +10,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/prefix"
 )
 
-var policies = []string{"ours", "fleet", "leastLoaded", "roundRobin"}
+var policies = []string{"ours", "pool", "fleet", "leastLoaded", "roundRobin"}
 
 func report(b *testing.B, f figures) {
 	b.Helper()
@@ -91,8 +91,9 @@
 	}
 }
 
-// eachDeployment runs a check for one entry host and, where it is fit for it,
-// for a fleet of nine with views of their own.
+// eachDeployment runs a check for one entry host, for several that ask the home
+// of the pool, and, where it is fit for it, for nine with views of their own, as
+// they are while the home gives no answer.
 func eachDeployment(t *testing.T, fleetIsRed bool, check func(t *testing.T, d deployment, name string)) {
 	t.Helper()
 	for _, d := range deployments {
@@ -100,6 +101,10 @@
 			t.Parallel()
 			check(t, d, "ours")
 		})
+		t.Run(d.name+"/pool", func(t *testing.T) {
+			t.Parallel()
+			check(t, d, "pool")
+		})
 		t.Run(d.name+"/fleet", func(t *testing.T) {
 			if fleetIsRed {
 				knownRed(t)
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -114,6 +114,9 @@
 	t.active = false
 	e := b.engines[t.number]
 	b.endPrefill(e, t)
+	if t.Suspect {
+		e.suspectLeft = now
+	}
 	e.inFlight--
 	if t.decoding {
 		t.decoding = false
@@ -135,6 +138,20 @@
 	}
 }
 
+// blameFor is how long the death of a target is put down to the suspect that ran
+// on it.
+const blameFor = 2 * time.Second
+
+// Blamed reports whether the death of a target just now is put down to a suspect
+// that ran on it without a first token. Other requests there are then innocent.
+func (b *Board) Blamed(now time.Time, target string) bool {
+	e := b.find(target)
+	if e == nil {
+		return false
+	}
+	return e.suspects > 0 || (!e.suspectLeft.IsZero() && now.Sub(e.suspectLeft) < blameFor)
+}
+
 // clearSuspect lets the next suspect onto the target.
 func (b *Board) clearSuspect(e *engine, t *Ticket) {
 	if t.Suspect {
--- a/internal/placement/workload_test.go
+++ b/internal/placement/workload_test.go
@@ -45,6 +45,10 @@
 	switch name {
 	case "ours":
 		p = newOurs(w, k)
+	case "pool":
+		// News wait a millisecond for others to go with them.
+		k.decideTime, k.tellTime = 2*d.oneWay, d.oneWay+time.Millisecond
+		p = newOurs(w, k)
 	case "fleet":
 		p = newFleet(w, fleetHosts)
 	default:
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -76,6 +76,12 @@
 	if s.Count(now, "g") != 0 {
 		t.Error("not cleared")
 	}
+	s.Crashed(now, "h")
+	s.Crashed(now, "h")
+	s.Exonerate("h")
+	if got := s.Count(now, "h"); got != 1 {
+		t.Errorf("exonerated: got count %d, want 1", got)
+	}
 	if retry.Fingerprint("a", "bc", "d") == retry.Fingerprint("ab", "c", "d") {
 		t.Error("fingerprints of two accounts are the same")
 	}
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -48,6 +48,19 @@
 	return crashes
 }
 
+// Exonerate takes back the last crash counted, since another request is to blame.
+func (s *Suspects) Exonerate(fingerprint string) {
+	found, ok := s.counts[fingerprint]
+	if !ok {
+		return
+	}
+	found.crashes--
+	s.counts[fingerprint] = found
+	if found.crashes <= 0 {
+		s.Cleared(fingerprint)
+	}
+}
+
 // Merge takes in the count of another host, whose last crash was age ago. The
 // age goes with the count, so that hosts don't remind each other for ever.
 func (s *Suspects) Merge(now time.Time, fingerprint string, crashes int, age time.Duration) {
