--- a/internal/entry/host_test.go
+++ b/internal/entry/host_test.go
@@ -130,11 +130,13 @@
 }
 
 // BenchmarkAdded compares a streamed answer through the entry host with the
-// same answer from the engine directly, in one run.
+// same answer from the engine directly, in one run: alone, and while further
+// requests through the host keep one core half busy.
 func BenchmarkAdded(b *testing.B) {
 	s := startSite(b, fastEngines)
 	defer s.stop()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
 	engine := s.world.Engines[0].URL()
 	direct := func(tokens int) (first time.Duration) {
 		return readStream(b, client, engine+"/run", directBody(tokens), nil)
@@ -146,23 +148,53 @@
 		direct(benchTokens)
 		through(benchTokens)
 	}
+	b.Run("load=none", func(b *testing.B) { compare(b, direct, through) })
+	b.Run("load=half", func(b *testing.B) {
+		done := make(chan struct{})
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			keepHalfBusy(done, func() { through(benchTokens) })
+		}()
+		compare(b, direct, through)
+		close(done)
+		<-ended
+	})
+}
+
+// keepHalfBusy repeats a call and rests as long as each call took of the
+// processor.
+func keepHalfBusy(done chan struct{}, call func()) {
+	for {
+		var c cost
+		c.add(func() time.Duration {
+			call()
+			return 0
+		})
+		select {
+		case <-done:
+			return
+		case <-time.After(c.cpu):
+		}
+	}
+}
+
+func compare(b *testing.B, direct, through func(tokens int) time.Duration) {
+	b.Helper()
 	var costs [2][2]cost
 	b.ReportAllocs()
-	b.ResetTimer()
 	for range b.N {
 		for i, tokens := range []int{1, benchTokens} {
 			costs[0][i].add(func() time.Duration { return direct(tokens) })
 			costs[1][i].add(func() time.Duration { return through(tokens) })
 		}
 	}
-	b.StopTimer()
 	n := float64(b.N)
 	micros := func(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 / n }
 	b.ReportMetric(micros(costs[1][1].first-costs[0][1].first), "added-first-µs")
 	b.ReportMetric(micros(costs[1][0].cpu-costs[0][0].cpu), "added-cpu-µs/request")
 	perToken := (costs[1][1].cpu - costs[0][1].cpu) - (costs[1][0].cpu - costs[0][0].cpu)
 	b.ReportMetric(micros(perToken)/(benchTokens-1), "added-cpu-µs/token")
-	client.CloseIdleConnections()
 }
 
 // cost sums the time to the first token and the processor time of calls.
