Choose the home of a pool among the hosts that are ready

Cause: a home in a planned stop stayed home until it left, which can take as long as its longest stream, and all hosts decided by their own views meanwhile.

Changed: only ready hosts are considered, the own one by what it knows, the others by their last report.

Conclusion: a planned stop moves the decisions within one exchange of reports.

--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -90,7 +90,7 @@
 func (s *surroundings) Loads() map[string]peer.TargetLoad         { return nil }
 func (s *surroundings) InFlight() (int, bool)                     { return 0, true }
 func (s *surroundings) AccountDemand(string) (float64, int, bool) { return 0, 0, true }
-func (s *surroundings) PoolHome(string) (string, bool)            { return "", false }
+func (s *surroundings) PoolHome(string) (string, bool)            { return "", true }
 func (s *surroundings) Decide(context.Context, string, *wire.DecideRequest) (*wire.DecideResponse, error) {
 	return nil, errors.ErrUnsupported
 }
--- a/internal/dispatch/poolclient.go
+++ b/internal/dispatch/poolclient.go
@@ -49,13 +49,18 @@
 // admit waits until the request may run: by the home of its pool, or by this
 // host's own queue when it is the home or the home gives no answer.
 func (r *run) admit(ctx context.Context) error {
-	if url, ok := r.d.Peers.PoolHome(poolPrefix + r.poolName); ok {
-		err := r.admitAt(ctx, url)
-		if !errors.Is(err, errHomeSilent) {
-			return err
-		}
-		r.d.decideAlone()
+	url, self := r.d.Peers.PoolHome(poolPrefix + r.poolName)
+	if self {
+		return r.d.acquire(ctx, r.job)
+	}
+	err := errHomeSilent
+	if url != "" {
+		err = r.admitAt(ctx, url)
+	}
+	if !errors.Is(err, errHomeSilent) {
+		return err
 	}
+	r.d.decideAlone()
 	return r.d.acquire(ctx, r.job)
 }
 
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -270,19 +270,23 @@
 // Home returns the live member that looks after a name: the one with the
 // highest hash of both names. Hosts with different views may disagree.
 func (t *Table) Home(name string) string {
-	best := t.self.Name
-	bestHash := homeHash(t.self.Name, name)
-	if t.self.Status == Left {
-		bestHash = 0
+	return t.HomeAmong(name, func(m Member) bool { return m.Status == Alive })
+}
+
+// HomeAmong is Home among the members that are fit for the task. It is empty
+// when none is.
+func (t *Table) HomeAmong(name string, fit func(Member) bool) string {
+	best := ""
+	bestHash := uint64(0)
+	consider := func(m Member) {
+		hash := homeHash(m.Name, name)
+		if fit(m) && (best == "" || hash > bestHash || (hash == bestHash && m.Name < best)) {
+			best, bestHash = m.Name, hash
+		}
 	}
+	consider(t.self)
 	for _, e := range t.entries {
-		if e.member.Status != Alive {
-			continue
-		}
-		hash := homeHash(e.member.Name, name)
-		if hash > bestHash || (hash == bestHash && e.member.Name < best) {
-			best, bestHash = e.member.Name, hash
-		}
+		consider(e.member)
 	}
 	return best
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -7,22 +7,25 @@
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 )
 
-// PoolHome returns the URL of the host that decides for a pool. ok is false
-// when this host is that one, or when it isn't known to be ready.
-func (g *Group) PoolHome(pool string) (url string, ok bool) {
+// PoolHome returns the URL of the ready host that decides for a pool, and
+// whether it is this one. Without a ready host both are empty.
+func (g *Group) PoolHome(pool string) (url string, self bool) {
+	ready := g.Ready()
+	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	name := g.table.Home(pool)
+	name := g.table.HomeAmong(pool, func(m membership.Member) bool {
+		if m.Name == g.Self.Name {
+			return ready
+		}
+		told, ok := g.reports[m.Name]
+		return ok && m.Status == membership.Alive && told.report.Ready && now.Sub(told.at) < reportFor
+	})
 	if name == g.Self.Name {
-		return "", false
+		return "", true
 	}
-	m, known := g.table.Get(name)
-	told, reported := g.reports[name]
-	ready := reported && told.report.Ready && g.Clock.Now().Sub(told.at) < reportFor
-	if !known || m.Status != membership.Alive || !ready {
-		return "", false
-	}
-	return m.URL, true
+	m, _ := g.table.Get(name)
+	return m.URL, false
 }
 
 // Decide asks the home of a pool for a decision.
