--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -78,7 +78,9 @@
 // surroundings stands for records, peers, ledger and store hosts.
 type surroundings struct {
 	dispatch.StoreCaller
-	set  *record.Set
+	set *record.Set
+	// home is the URL of the pool's home, empty when this host is it.
+	home string
 	mu   sync.Mutex
 	rows []ledger.Row
 }
@@ -90,7 +92,7 @@
 func (s *surroundings) Loads() map[string]peer.TargetLoad         { return nil }
 func (s *surroundings) InFlight() (int, bool)                     { return 0, true }
 func (s *surroundings) AccountDemand(string) (float64, int, bool) { return 0, 0, true }
-func (s *surroundings) PoolHome(string) (string, bool)            { return "", true }
+func (s *surroundings) PoolHome(string) (string, bool)            { return s.home, s.home == "" }
 func (s *surroundings) Decide(context.Context, string, *wire.DecideRequest) (*wire.DecideResponse, error) {
 	return nil, errors.ErrUnsupported
 }
@@ -148,10 +150,27 @@
 // generate runs one request against fake engines in virtual time.
 func generate(t *testing.T, client dispatch.TargetCaller) outcome {
 	t.Helper()
-	around := newSurroundings(t)
+	return generateIn(t, client, newSurroundings(t))
+}
+
+func generateIn(t *testing.T, client dispatch.TargetCaller, around *surroundings) outcome {
+	t.Helper()
+	d, stop := startDispatcher(t, client, around)
+	sink := &textSink{}
+	_, err := d.Generate(t.Context(), &dispatch.Generation{Account: "orders", Model: "m", Prompt: "hello", MaxTokens: 3}, sink)
+	_ = d.Stop(t.Context())
+	stop()
+	// Late answers of attempts that lost come to their end.
+	time.Sleep(time.Second)
+	return outcome{text: sink.text.String(), err: err, d: d, rows: around.rows}
+}
+
+// startDispatcher starts a dispatcher and lets it look at its targets once.
+func startDispatcher(t *testing.T, client dispatch.TargetCaller, around *surroundings) (d *dispatch.Dispatcher, stop func()) {
+	t.Helper()
 	cfg := config.Default()
 	cfg.Placement.WarmUp = config.Of(0)
-	d := &dispatch.Dispatcher{
+	d = &dispatch.Dispatcher{
 		Host: "one", Incarnation: 1, Config: cfg, Clock: clock.System{}, Targets: client, Stores: around, Records: around, Peers: around,
 		Ledger: around, Refuser: around, Metrics: metrics.NewRegistry(),
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
@@ -164,14 +183,10 @@
 		_ = d.Run(ctx)
 	}()
 	time.Sleep(time.Second)
-	sink := &textSink{}
-	_, err := d.Generate(ctx, &dispatch.Generation{Account: "orders", Model: "m", Prompt: "hello", MaxTokens: 3}, sink)
-	_ = d.Stop(ctx)
-	cancel()
-	<-done
-	// Late answers of attempts that lost come to their end.
-	time.Sleep(time.Second)
-	return outcome{text: sink.text.String(), err: err, d: d, rows: around.rows}
+	return d, func() {
+		cancel()
+		<-done
+	}
 }
 
 func counter(d *dispatch.Dispatcher, name string) int64 {
@@ -274,3 +289,48 @@
 	notRun := !e.worked || e.count > 1
 	return nil, &target.RefusalError{Status: http.StatusServiceUnavailable, Code: "busy", NotRun: notRun}
 }
+
+// A host decides by its own view when the home of the pool gives no answer.
+func TestSilentHomeIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &engines{run: func(_ context.Context, _ string, run *target.RunRequest, w io.Writer) error { return answer(w, run, 0) }}
+		around := newSurroundings(t)
+		around.home = "http://home"
+		got := generateIn(t, e, around)
+		if got.text != "012" || got.err != nil || counter(got.d, "pool.fallbacks") != 1 {
+			t.Errorf("got %q, %v, %d fallbacks; want the whole answer after one", got.text, got.err, counter(got.d, "pool.fallbacks"))
+		}
+	})
+}
+
+// The home places jobs of other hosts, keeps them while their host names them,
+// and ends them when it no longer does.
+func TestHomeEndsLapsedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, stop := startDispatcher(t, &engines{}, newSurroundings(t))
+		ask := &wire.DecideRequest{Host: "two", RequestId: "r", Account: "orders", Model: "m", Version: "v1", PromptTokens: 5, AnswerTokens: 5, WaitMillis: 1000}
+		var jobs []int64
+		for range 3 {
+			got, err := d.DecideFor(t.Context(), ask)
+			if err != nil || !got.Admitted || got.Target == "" || got.Ticket == 0 {
+				t.Fatalf("got %+v, error %v; want a target", got, err)
+			}
+			jobs = append(jobs, got.Job)
+		}
+		// One job ends, one is named, one is forgotten.
+		d.ObserveFor(&wire.ObserveRequest{Host: "two", Ended: []*wire.JobEnd{{Job: jobs[0], ActualWork: 10}}})
+		for range 6 {
+			time.Sleep(time.Second)
+			d.ObserveFor(&wire.ObserveRequest{Host: "two", Running: jobs[1:2]})
+		}
+		if got := d.PeerReport().RequestsInFlight; got != 1 || counter(d, "pool.lapsed") != 1 {
+			t.Errorf("got %d in flight, %d lapsed; want 1 and 1", got, counter(d, "pool.lapsed"))
+		}
+		// Another host can't end it.
+		d.ObserveFor(&wire.ObserveRequest{Host: "three", Ended: []*wire.JobEnd{{Job: jobs[1]}}})
+		if got := d.PeerReport().RequestsInFlight; got != 1 {
+			t.Errorf("another host ended the job: %d in flight", got)
+		}
+		stop()
+	})
+}
