Strengthen checks that could not fail and correct claims that no run had shown

Cause: the whole change read once more.

The 40% check is back, beside the one at 33%, and listed in KNOWN-RED.txt for the Consortium with its stated bound.

--- a/internal/booking/desk_test.go
+++ b/internal/booking/desk_test.go
@@ -90,6 +90,8 @@
 // A booking runs at most once for its key whatever fails between two steps, a
 // refusal that says "not run" is true, and a repeated answer is the same.
 func TestBookingRunsAtMostOnce(t *testing.T) {
+	steps := 0
+	defer func() { t.Logf("%d steps", steps) }()
 	rapid.Check(t, func(t *rapid.T) {
 		c := &clock.Skipping{}
 		c.Advance(time.Hour)
@@ -100,6 +102,7 @@
 		s := &service{ran: map[string]int{}}
 		answers := map[string]string{}
 		for range rapid.IntRange(20, 60).Draw(t, "steps") {
+			steps++
 			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
 			desk := rapid.SampledFrom(desks).Draw(t, "host")
 			outcome := rapid.SampledFrom([]callOutcome{callAnswered, callNotReached, callAnswerLost, callHostDies}).Draw(t, "call")
--- a/internal/entry/host_test.go
+++ b/internal/entry/host_test.go
@@ -61,6 +61,7 @@
 	cfg := config.Default()
 	cfg.Host, cfg.FailureDomain = name, "west"
 	cfg.Callers.Listen, cfg.Operators.Listen, cfg.Peers.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Callers.HeaderTimeout = config.Of(300 * time.Millisecond)
 	cfg.Operators.Keys = []config.OperatorKey{{Name: "anna", SHA256: operatorHash}}
 	cfg.Platform.TableURL, cfg.Platform.ObjectURL, cfg.Platform.HostListURL = world.PlatformURL(), world.PlatformURL(), world.PlatformURL()
 	cfg.Placement.WarmUp, cfg.StopDelay = config.Of(0), config.Of(0)
@@ -120,6 +121,24 @@
 	goleak.VerifyNone(t, ignore)
 }
 
+// A caller that doesn't end its header is cut off.
+func TestHeaderTimeLimit(t *testing.T) {
+	s := startSite(t, nil)
+	defer s.stop()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	// Without the limit this waits for ever.
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Errorf("got %v, want the end of the connection", err)
+	}
+}
+
 const benchTokens = 200
 
 func fastEngines(w *standin.World) {
--- /dev/null
+++ b/internal/peer/traffic_test.go
@@ -0,0 +1,133 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+	"sassafrasplank.example/sassafrasplank/internal/platform"
+	"sassafrasplank.example/sassafrasplank/internal/recordstore"
+	"sassafrasplank.example/sassafrasplank/pkg/record"
+)
+
+// around stands for what surrounds a group: a report at its bounds, records that
+// don't change, and the list of all hosts.
+type around struct {
+	hosts []platform.Host
+}
+
+func (a *around) Hosts(context.Context) ([]platform.Host, error) { return a.hosts, nil }
+func (a *around) MergeSuspects([]Suspect)                        {}
+func (a *around) TargetLeaving(string)                           {}
+func (a *around) ObserveFor(*wire.ObserveRequest)                {}
+func (a *around) Current() *record.Set                           { return record.NewSet() }
+func (a *around) ContactAge() (time.Duration, bool)              { return 0, true }
+func (a *around) CatchupFor(int64) recordstore.Catchup           { return recordstore.Catchup{} }
+func (a *around) Wake()                                          {}
+func (a *around) DecideFor(context.Context, *wire.DecideRequest) (*wire.DecideResponse, error) {
+	return &wire.DecideResponse{}, nil
+}
+
+func (a *around) PeerReport() Report {
+	report := Report{}
+	for i := range 16 {
+		report.Demands = append(report.Demands, AccountDemand{Account: fmt.Sprintf("account-%03d", i), TokensPerSecond: 1000, InFlight: 3})
+	}
+	for i := range 24 {
+		report.Loads = append(report.Loads, TargetLoad{Target: fmt.Sprintf("engine-%05d", i), Requests: 2, PrefillTokens: 4000, Slowness: 1})
+	}
+	return report
+}
+
+// countedConn counts the bytes read and written at its owner.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkTraffic runs groups on loopback and counts what their own calls send
+// and receive, which over all hosts is half of what each one's sockets carry.
+func BenchmarkTraffic(b *testing.B) {
+	for _, n := range []int{3, 9, 27} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			var bytes atomic.Int64
+			dialer := &net.Dialer{}
+			client := &http.Client{Transport: &http.Transport{
+				MaxIdleConns: 64 * n, IdleConnTimeout: 10 * time.Second,
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					conn, err := dialer.DialContext(ctx, network, address)
+					if err != nil {
+						return nil, err
+					}
+					return &countedConn{Conn: conn, bytes: &bytes}, nil
+				},
+			}}
+			ctx, cancel := context.WithCancel(context.Background())
+			surroundings := &around{}
+			var groups []*Group
+			for i := range n {
+				g := &Group{
+					Self:   membership.Member{Name: fmt.Sprintf("host-%03d", i), FailureDomain: "west", Incarnation: 1},
+					Params: membership.Params{SuspectAfter: 5 * time.Second, ForgetAfter: time.Minute}, Interval: time.Second, FanOut: 2,
+					HostList: surroundings, Clock: clock.System{}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+					HTTP: client, Local: surroundings, Records: surroundings, Ready: func() bool { return true },
+				}
+				server := httptest.NewUnstartedServer(nil)
+				g.Self.URL = "http://" + server.Listener.Addr().String()
+				g.Init()
+				server.Config.Handler = g.Handler()
+				server.Start()
+				defer server.Close()
+				surroundings.hosts = append(surroundings.hosts, platform.Host{Name: g.Self.Name, URL: g.Self.URL, Kind: "entry"})
+				groups = append(groups, g)
+			}
+			for _, g := range groups {
+				go func() { _ = g.Run(ctx) }()
+			}
+			time.Sleep(15 * time.Second)
+			bytes.Store(0)
+			before := processTime(b)
+			const measured = 5 * time.Second
+			time.Sleep(measured)
+			perHost := float64(n) * measured.Seconds()
+			b.ReportMetric(2*float64(bytes.Load())/perHost, "bytes/host-s")
+			b.ReportMetric(float64((processTime(b)-before).Microseconds())/perHost, "cpu-µs/host-s")
+			b.ReportMetric(float64(groups[0].Hosts()), "live")
+			cancel()
+			client.CloseIdleConnections()
+		})
+	}
+}
+
+func processTime(b *testing.B) time.Duration {
+	b.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -60,7 +60,7 @@
 
 func BenchmarkSlowTarget(b *testing.B) {
 	eachPolicy(b, func(b *testing.B, d deployment, name string) {
-		_, f := runPolicy(d, slowScenario(d, true), name, knobs{})
+		_, f := runPolicy(d, slowScenario(d, usualLoad, true), name, knobs{})
 		report(b, f)
 	})
 }
@@ -149,13 +149,31 @@
 	})
 }
 
+func checkSlowTarget(t *testing.T, d deployment, name string, load float64) {
+	t.Helper()
+	_, slowed := runPolicy(d, slowScenario(d, load, true), name, knobs{})
+	_, none := runPolicy(d, slowScenario(d, load, false), name, knobs{})
+	atMost(t, "p99 of the run with none slowed", slowed.p99/none.p99, 1.3)
+	atMost(t, "extra work in per cent", slowed.extra, 5)
+}
+
 func TestSlowTargetTargets(t *testing.T) {
-	eachDeployment(t, true, func(t *testing.T, d deployment, name string) {
-		_, slowed := runPolicy(d, slowScenario(d, true), name, knobs{})
-		_, none := runPolicy(d, slowScenario(d, false), name, knobs{})
-		atMost(t, "p99 of the run with none slowed", slowed.p99/none.p99, 1.3)
-		atMost(t, "extra work in per cent", slowed.extra, 5)
-	})
+	eachDeployment(t, true, func(t *testing.T, d deployment, name string) { checkSlowTarget(t, d, name, usualLoad) })
+}
+
+// The load at which the check was first made.
+func TestSlowTargetHeavyTargets(t *testing.T) {
+	for _, d := range deployments {
+		for _, name := range []string{"ours", "pool"} {
+			t.Run(d.name+"/"+name, func(t *testing.T) {
+				if d.name == "consortium" {
+					knownRed(t)
+				}
+				t.Parallel()
+				checkSlowTarget(t, d, name, heavyLoad)
+			})
+		}
+	}
 }
 
 // BenchmarkAblation switches one mechanism off at a time.
@@ -163,21 +181,21 @@
 	others := between(crestFrom+2*time.Second, crestEnd, true)
 	rows := []struct {
 		name    string
-		make    func(d deployment) scenario
+		create  func(d deployment) scenario
 		counted func(*result) bool
 		knobs   map[string]knobs
 	}{
 		{"return", returnScenario, nil, map[string]knobs{"none": {}, "import": {noImport: true}, "reuse": {noReuse: true}, "hedge": {noHedge: true}}},
 		{"crest", crestScenario, others, map[string]knobs{"none": {}, "fairShare": {noShare: true}, "reserve": {noReserve: true}, "priority": {noPriority: true}}},
 		{"headOfLine", func(d deployment) scenario { return headOfLineScenario(d, true) }, onlyShort, map[string]knobs{"none": {}, "longCap": {noLongCap: true}, "priority": {noPriority: true}}},
-		{"slowTarget", func(d deployment) scenario { return slowScenario(d, true) }, nil, map[string]knobs{"none": {}, "hedge": {noHedge: true}, "tokenRate": {noRate: true}}},
+		{"slowTarget", func(d deployment) scenario { return slowScenario(d, usualLoad, true) }, nil, map[string]knobs{"none": {}, "hedge": {noHedge: true}, "tokenRate": {noRate: true}}},
 	}
 	for _, row := range rows {
 		for _, d := range deployments {
 			for without, k := range row.knobs {
 				b.Run(fmt.Sprintf("scenario=%s/deployment=%s/without=%s", row.name, d.name, without), func(b *testing.B) {
 					for range b.N {
-						w, _ := runPolicy(d, row.make(d), "ours", k)
+						w, _ := runPolicy(d, row.create(d), "ours", k)
 						report(b, w.figures(row.counted))
 					}
 				})
--- a/internal/placement/workload_test.go
+++ b/internal/placement/workload_test.go
@@ -165,10 +165,10 @@
 }
 
 // poisson appends arrivals of one account at a rate a second.
-func poisson(arrivals []*arrival, seed uint64, from, to time.Duration, rate float64, make func() *arrival) []*arrival {
+func poisson(arrivals []*arrival, seed uint64, from, to time.Duration, rate float64, create func() *arrival) []*arrival {
 	rng := seededRand(seed)
 	for at := from.Seconds() + rng.ExpFloat64()/rate; at < to.Seconds(); at += rng.ExpFloat64() / rate {
-		a := make()
+		a := create()
 		a.at = seconds(at)
 		arrivals = append(arrivals, a)
 	}
@@ -256,15 +256,21 @@
 func onlyShort(r *result) bool { return !r.arrival.long }
 func onlyLong(r *result) bool  { return r.arrival.long }
 
+// Loads of the scenario with slowed engines, in parts of all slots.
+const (
+	usualLoad = 0.33
+	heavyLoad = 0.4
+)
+
 // slowScenario slows two engines tenfold for seconds at a time.
-func slowScenario(d deployment, slowed bool) scenario {
+func slowScenario(d deployment, load float64, slowed bool) scenario {
 	const (
 		end    = 300 * time.Second
 		prompt = 1500
 		answer = 60
 	)
 	hold := answer*fakeGap.Seconds() + prompt/float64(fakeRate)
-	rate := 0.33 * float64(d.engines*fakeSlots) / hold
+	rate := load * float64(d.engines*fakeSlots) / hold
 	var arrivals []*arrival
 	for n := range 10 {
 		account := fmt.Sprintf("account-%d", n)
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -32,14 +32,17 @@
 
 // Each fault of a commit ends in the error that tells what is known of it.
 func TestCommitErrors(t *testing.T) {
-	stand := standin.NewPlatform(clock.System{})
+	// The clock stands still, so that all calls fall into one second.
+	stand := standin.NewPlatform(&clock.Skipping{})
 	server := httptest.NewServer(stand.Handler())
 	defer server.Close()
 	ctx := context.Background()
 	cases := []struct {
-		name    string
-		faults  standin.PlatformFaults
-		key     string
+		name   string
+		faults standin.PlatformFaults
+		key    string
+		// spent is set when the calls of the present second are used up before.
+		spent   bool
 		want    error
 		applied bool
 	}{
@@ -47,10 +50,13 @@
 		{name: "conflict", key: "a", want: &platform.ConflictError{}, applied: true},
 		{name: "down", key: "b", faults: standin.PlatformFaults{Down: true}, want: platform.ErrUnavailable},
 		{name: "answer lost", key: "c", faults: standin.PlatformFaults{LoseAnswers: 1}, want: platform.ErrUnknownOutcome, applied: true},
-		{name: "too many calls", key: "d", faults: standin.PlatformFaults{CallsPerSecond: -1}, want: nil, applied: true},
+		{name: "too many calls", key: "d", faults: standin.PlatformFaults{CallsPerSecond: 1}, spent: true, want: platform.ErrUnavailable},
 	}
 	for _, c := range cases {
 		client := newClient(server.URL, clock.System{})
+		if c.spent {
+			_, _, _ = client.Get(ctx, "t", "x")
+		}
 		stand.SetFaults(c.faults)
 		err := client.Commit(ctx, transaction(c.key))
 		stand.SetFaults(standin.PlatformFaults{})
--- a/internal/recordstore/writer_test.go
+++ b/internal/recordstore/writer_test.go
@@ -69,6 +69,8 @@
 // history exactly once, one of two changes on the same base wins, and no host
 // ever goes back.
 func TestRecordsNeverRevert(t *testing.T) {
+	steps := 0
+	defer func() { t.Logf("%d steps", steps) }()
 	rapid.Check(t, func(t *rapid.T) {
 		faulty := rapid.SampledFrom([]standin.Outcome{
 			standin.Answered, standin.Answered, standin.Answered, standin.Answered, standin.Answered, standin.Answered,
@@ -79,6 +81,7 @@
 		accepted := map[int64]string{}
 		ctx := context.Background()
 		for step := range rapid.IntRange(10, 40).Draw(t, "steps") {
+			steps++
 			host := rapid.IntRange(0, 2).Draw(t, "host")
 			name := rapid.SampledFrom([]string{"letters", "notes"}).Draw(t, "record")
 			base := bases[name]
--- a/internal/store/directory_test.go
+++ b/internal/store/directory_test.go
@@ -92,6 +92,8 @@
 // No read sees a block that was deleted, with several hosts that free blocks
 // and others that have old listings.
 func TestNoReadOfDeletedBlock(t *testing.T) {
+	steps := 0
+	defer func() { t.Logf("%d steps", steps) }()
 	deleted := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := &blockModel{now: time.Unix(1000, 0), blocks: map[string]bool{}, commits: map[string]store.Commit{}}
@@ -99,6 +101,7 @@
 			m.hosts = append(m.hosts, &store.Directory{FreshFor: freshFor, ReadLimit: readLimit, Grace: time.Second})
 		}
 		for range rapid.IntRange(30, 100).Draw(t, "steps") {
+			steps++
 			host := rapid.SampledFrom(m.hosts).Draw(t, "host")
 			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
