--- a/commands/root.go
+++ b/commands/root.go
@@ -58,6 +58,7 @@
 		ErrWriter: stderr,
 		Commands: []*cli.Command{
 			newServe(),
+			newRoute(),
 			newDev(),
 			newStandin(),
 			newCheck(),
--- /dev/null
+++ b/internal/config/routed.go
@@ -0,0 +1,215 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/jsonc"
+	"sassafrasplank.example/sassafrasplank/pkg/finding"
+)
+
+// Routed holds the settings of an entry host whose routes, services and client
+// accounts are written by operators into the platform's table service.
+type Routed struct {
+	// Host is the name of this host, unique among the entry hosts.
+	Host string `json:"host"`
+	// FailureDomain is the failure domain this host stands in.
+	FailureDomain string `json:"failureDomain"`
+	// LogLevel is one of debug, info, warn and error.
+	LogLevel string `json:"logLevel"`
+
+	Callers   Listener `json:"callers"`
+	Readiness Listener `json:"readiness"`
+	Metrics   Listener `json:"metrics"`
+
+	Table     Table         `json:"table"`
+	Placement Placement     `json:"placement"`
+	Slowness  Slowness      `json:"slowness"`
+	Retries   RoutedRetries `json:"retries"`
+	Ledger    Ledger        `json:"ledger"`
+	Rollout   Rollout       `json:"rollout"`
+
+	// PrefillTokensPerSecond is the usual rate at which an engine reads prompts.
+	PrefillTokensPerSecond float64 `json:"prefillTokensPerSecond"`
+	// TokenGap is the shortest usual time between two tokens of a stream.
+	TokenGap Duration `json:"tokenGap"`
+	// PlainRate is the number of requests a second that one slot of a plain
+	// service is taken to serve.
+	PlainRate float64 `json:"plainRate"`
+	// OldVersionFor is how long new work may begin on older weights after newer
+	// ones were asked for.
+	OldVersionFor Duration `json:"oldVersionFor"`
+	// MemoryBytes is the memory this process may use, 0 for no bound.
+	MemoryBytes int64 `json:"memoryBytes"`
+	// StopDelay is the time between becoming unready and closing the listener,
+	// in which the balancer turns to other hosts.
+	StopDelay Duration `json:"stopDelay"`
+	// StopWithin bounds a planned stop.
+	StopWithin Duration `json:"stopWithin"`
+}
+
+// Listener is an address that a host serves.
+type Listener struct {
+	Listen string `json:"listen"`
+}
+
+// Table configures the client of the table service.
+type Table struct {
+	URL         string   `json:"url"`
+	CallTimeout Duration `json:"callTimeout"`
+	// ReadsPerSecond and WritesPerSecond bound the calls of this host.
+	ReadsPerSecond  float64  `json:"readsPerSecond"`
+	WritesPerSecond float64  `json:"writesPerSecond"`
+	BreakerFailures int      `json:"breakerFailures"`
+	BreakerPause    Duration `json:"breakerPause"`
+	// ChangeWait is how long one call waits for a change of the configuration.
+	// It also bounds how long a silent connection is believed.
+	ChangeWait Duration `json:"changeWait"`
+	// TargetPoll is the time between two looks at the list of targets.
+	TargetPoll Duration `json:"targetPoll"`
+}
+
+// RoutedRetries configures further attempts of routed requests.
+type RoutedRetries struct {
+	// BudgetPercent is the number of further attempts per hundred requests of a
+	// service on this host, and Reserve the most that are saved up.
+	BudgetPercent float64 `json:"budgetPercent"`
+	Reserve       float64 `json:"reserve"`
+	// MostTries bounds the attempts of one request over all targets.
+	MostTries int `json:"mostTries"`
+	// SilentGoals is the number of times the goal of its route that an attempt
+	// may be silent before the request goes on elsewhere.
+	SilentGoals time.Duration `json:"silentGoals"`
+	// AvoidFor is how long a target gets no work after it couldn't be reached.
+	AvoidFor Duration `json:"avoidFor"`
+	// ReturnAfter is the least time that refused callers are asked to wait.
+	ReturnAfter     Duration `json:"returnAfter"`
+	SuspectAttempts int      `json:"suspectAttempts"`
+	SuspectFor      Duration `json:"suspectFor"`
+}
+
+// Rollout configures how targets are brought to new weights.
+type Rollout struct {
+	// Lease is how long a holder of the lease may act after its last renewal.
+	Lease Duration `json:"lease"`
+	// Quiet is the time between the last act of one holder and the first of the
+	// next.
+	Quiet Duration `json:"quiet"`
+	// AtOnce is the share of the targets that swap weights at the same time.
+	AtOnce float64 `json:"atOnce"`
+	// Settle is the time between taking a target out of use and its order, in
+	// which all hosts hear of it.
+	Settle Duration `json:"settle"`
+	// Repeat is the time after which an order is given again.
+	Repeat Duration `json:"repeat"`
+	// Within is the time in which all targets hold the weights asked for.
+	Within Duration `json:"within"`
+}
+
+// DefaultRouted returns the settings used where a file says nothing.
+func DefaultRouted() Routed {
+	base := Default()
+	cfg := Routed{
+		LogLevel:  base.LogLevel,
+		Callers:   Listener{Listen: "127.0.0.1:8080"},
+		Readiness: Listener{Listen: "127.0.0.1:8081"},
+		Metrics:   Listener{Listen: "127.0.0.1:8082"},
+		Table: Table{
+			CallTimeout:     Of(time.Second),
+			ReadsPerSecond:  20,
+			WritesPerSecond: 10,
+			BreakerFailures: 8,
+			BreakerPause:    Of(300 * time.Millisecond),
+			ChangeWait:      Of(1500 * time.Millisecond),
+			TargetPoll:      Of(500 * time.Millisecond),
+		},
+		Placement: base.Placement,
+		Slowness:  base.Slowness,
+		Retries: RoutedRetries{
+			BudgetPercent:   12,
+			Reserve:         3,
+			MostTries:       4,
+			SilentGoals:     3,
+			AvoidFor:        Of(time.Second),
+			ReturnAfter:     Of(200 * time.Millisecond),
+			SuspectAttempts: 2,
+			SuspectFor:      Of(2 * time.Minute),
+		},
+		Ledger:  Ledger{FlushEvery: Of(3 * time.Second), BatchRows: 512, WritesPerSecond: 20, BufferRows: 20_000},
+		Rollout: Rollout{Lease: Of(2 * time.Second), Quiet: Of(4 * time.Second), AtOnce: 0.34, Settle: Of(150 * time.Millisecond), Repeat: Of(6 * time.Second), Within: Of(12 * time.Second)},
+
+		PrefillTokensPerSecond: 120_000,
+		TokenGap:               Of(4 * time.Millisecond),
+		PlainRate:              60,
+		OldVersionFor:          Of(10 * time.Second),
+		StopDelay:              Of(3 * time.Second),
+		StopWithin:             Of(7 * time.Second),
+	}
+	cfg.Placement.IndexEntries = 40_000
+	cfg.Placement.WarmUp = Of(0)
+	cfg.Placement.LongSlotPercent = 100
+	return cfg
+}
+
+// LoadRouted reads and checks a settings file. All findings are returned
+// together as a *finding.Error.
+func LoadRouted(path string) (Routed, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Routed{}, fmt.Errorf("reading settings: %w", err)
+	}
+	return DecodeRouted(path, data)
+}
+
+// DecodeRouted reads settings from data over the defaults and checks them.
+func DecodeRouted(source string, data []byte) (Routed, error) {
+	cfg := DefaultRouted()
+	doc, err := jsonc.Parse(source, data)
+	if err != nil {
+		return cfg, err
+	}
+	if findings := doc.Decode(&cfg); len(findings) > 0 {
+		return cfg, findings.Err()
+	}
+	return cfg, cfg.check(doc.Place).Err()
+}
+
+func (c *Routed) check(place placer) finding.List {
+	k := &checker{place: place}
+	k.require(c.Host != "", "/host", "host: a name is required")
+	k.require(c.FailureDomain != "", "/failureDomain", "failureDomain: a name is required")
+	k.require(knownLevel(c.LogLevel), "/logLevel", "logLevel: want debug, info, warn or error, got %q", c.LogLevel)
+	k.address(c.Callers.Listen, "/callers/listen")
+	k.address(c.Readiness.Listen, "/readiness/listen")
+	k.address(c.Metrics.Listen, "/metrics/listen")
+	k.url(c.Table.URL, "/table/url")
+	k.positive(c.Table.ReadsPerSecond, "/table/readsPerSecond", "calls per second")
+	k.positive(c.Table.WritesPerSecond, "/table/writesPerSecond", "calls per second")
+	k.positive(float64(c.Table.BreakerFailures), "/table/breakerFailures", "calls")
+	k.positive(c.PrefillTokensPerSecond, "/prefillTokensPerSecond", "tokens per second")
+	k.positive(c.PlainRate, "/plainRate", "requests per second")
+	k.positive(float64(c.Retries.MostTries), "/retries/mostTries", "attempts")
+	k.positive(float64(c.Retries.SilentGoals), "/retries/silentGoals", "goals")
+	k.positive(float64(c.Ledger.BatchRows), "/ledger/batchRows", "rows")
+	k.positive(c.Rollout.AtOnce, "/rollout/atOnce", "parts of the targets")
+	k.percent(c.Retries.BudgetPercent, "/retries/budgetPercent")
+	for pointer, value := range map[string]Duration{
+		"/table/callTimeout":   c.Table.CallTimeout,
+		"/table/changeWait":    c.Table.ChangeWait,
+		"/table/targetPoll":    c.Table.TargetPoll,
+		"/ledger/flushEvery":   c.Ledger.FlushEvery,
+		"/rollout/lease":       c.Rollout.Lease,
+		"/rollout/within":      c.Rollout.Within,
+		"/retries/avoidFor":    c.Retries.AvoidFor,
+		"/retries/returnAfter": c.Retries.ReturnAfter,
+		"/stopWithin":          c.StopWithin,
+	} {
+		k.require(value.Duration > 0, pointer, "%s: want a duration above zero", fieldName(pointer))
+	}
+	k.require(c.StopDelay.Duration < c.StopWithin.Duration, "/stopDelay",
+		"stopDelay: %s is not shorter than stopWithin, %s", c.StopDelay, c.StopWithin)
+	k.require(c.Rollout.AtOnce <= 1, "/rollout/atOnce", "rollout.atOnce: want at most 1, got %g", c.Rollout.AtOnce)
+	k.findings.Sort()
+	return k.findings
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"strconv"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+	"sassafrasplank.example/sassafrasplank/internal/routing"
+	"sassafrasplank.example/sassafrasplank/internal/work"
+)
+
+// Stream is the kind of route whose answers are events.
+const Stream = routing.Stream
+
+// attempt is one try of a request on one target.
+type attempt struct {
+	target   fleet.Target
+	decision placement.Decision
+	ticket   placement.Ticket
+	// version names the weights on the board, number is their version.
+	version string
+	number  int64
+	wall    string
+	// source is the address to fetch the cached part from, empty for none.
+	source string
+}
+
+// placementRequest returns what placement needs to know of work.
+func (g *Gateway) placementRequest(w *work.Work) placement.Request {
+	req := placement.Request{
+		ID:            w.ID,
+		Account:       w.Account,
+		Model:         w.Service,
+		Version:       plainVersion,
+		PromptTokens:  max(1, w.PromptTokens),
+		MayProbe:      w.Route.Repeatable(),
+		FailureDomain: g.FailureDomain,
+	}
+	if len(w.Parts) > 0 {
+		req.FailureDomain = ""
+		req.AnswerTokens = w.AnswerTokens
+		req.ChainTokens = make([]int, 0, len(w.Parts))
+		tokens := 0
+		for _, part := range w.Parts {
+			tokens += part.Tokens
+			req.ChainTokens = append(req.ChainTokens, tokens)
+		}
+		req.Affinity = affinity(w)
+	}
+	return req
+}
+
+// affinity hashes the longest part that the prompt may share with others. The
+// last part belongs to the request or its session.
+func affinity(w *work.Work) uint64 {
+	part := w.Parts[max(0, len(w.Parts)-sharedBehind)]
+	sum := sha256.Sum256([]byte(w.Service + "/" + part.Key))
+	return max(1, binary.LittleEndian.Uint64(sum[:8]))
+}
+
+// sharedBehind is the place of the longest shared part, counted from the end.
+const sharedBehind = 2
+
+// wall returns the text that keeps cache apart: by client account where it is
+// isolated, and by the weights that made it.
+func wall(w *work.Work, version string) string {
+	if w.Isolated {
+		return "account/" + w.Account + "/" + version
+	}
+	return "shared/" + version
+}
+
+// partKey identifies a part of a prompt behind a wall.
+func partKey(wall, part string) prefix.Key {
+	sum := sha256.Sum256([]byte(strconv.Itoa(len(wall)) + ":" + wall + part))
+	return prefix.Key(sum[:len(prefix.Key{})])
+}
+
+// choose places a request, or returns nil when no target can be used.
+func (g *Gateway) choose(req *placement.Request, w *work.Work) *attempt {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var at *attempt
+	if w.Model == "" {
+		at = g.try(now, req, w, plainVersion, 0)
+	} else {
+		at = g.chooseWeights(now, req, w)
+	}
+	if at == nil {
+		return nil
+	}
+	t, ok := g.Fleet.Find(at.decision.Target)
+	if !ok {
+		return nil
+	}
+	at.target = t
+	if at.decision.Source() == placement.SourceOther {
+		if from, ok := g.Fleet.Find(at.decision.Chosen.From); ok {
+			at.source = from.Address
+		}
+	}
+	req.Version = at.version
+	req.Chain = g.chain(w, at)
+	at.ticket = g.board.Start(now, req, &at.decision)
+	return at
+}
+
+// chooseWeights prefers the newest weights. Older ones serve while they are
+// allowed and clearly faster, so that a swap doesn't crowd the first targets
+// that have finished it.
+func (g *Gateway) chooseWeights(now time.Time, req *placement.Request, w *work.Work) *attempt {
+	model := g.model(w.Model)
+	versions := model.held
+	var best *attempt
+	for _, version := range versions {
+		if version < model.named && !g.oldAllowed(now, model) {
+			break
+		}
+		at := g.try(now, req, w, versionName(w.Model, version), version)
+		if at == nil {
+			continue
+		}
+		if best == nil || at.decision.Chosen.Total()+oldVersionCost < best.decision.Chosen.Total() {
+			best = at
+		}
+	}
+	return best
+}
+
+// try asks the board for a target with one version of the weights.
+func (g *Gateway) try(now time.Time, req *placement.Request, w *work.Work, version string, number int64) *attempt {
+	at := &attempt{version: version, number: number}
+	req.Version = version
+	if w.Model != "" {
+		at.wall = wall(w, version)
+		req.Chain = g.chain(w, at)
+	}
+	g.board.Place(now, req, &at.decision)
+	if at.decision.Target == "" {
+		return nil
+	}
+	return at
+}
+
+func (g *Gateway) chain(w *work.Work, at *attempt) []prefix.Key {
+	if w.Model == "" {
+		return nil
+	}
+	keys := make([]prefix.Key, 0, len(w.Parts))
+	for _, part := range w.Parts {
+		keys = append(keys, partKey(at.wall, part.Key))
+	}
+	return keys
+}
+
+// call describes an attempt for the target client.
+func (r *run) call(at *attempt) *Call {
+	return &Call{
+		Work:      r.work,
+		Target:    at.target,
+		Remaining: r.work.Deadline.Sub(r.g.Clock.Now()),
+		Wall:      at.wall,
+		Version:   at.number,
+		Priority:  r.work.Priority,
+		FetchFrom: at.source,
+		After:     r.after,
+	}
+}
+
+// end takes an attempt off the board.
+func (g *Gateway) end(at *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.Finish(g.Clock.Now(), &at.ticket)
+}
+
+func (g *Gateway) firstToken(at *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.FirstToken(g.Clock.Now(), &at.ticket)
+}
+
+func (g *Gateway) tokens(at *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 1
+	if cfg := g.routes.Load(); cfg != nil {
+		if e := cfg.Services[at.target.Service].Engine; e != nil {
+			n = max(1, e.TokensPerEvent)
+		}
+	}
+	g.board.Tokens(g.Clock.Now(), &at.ticket, n)
+}
+
+func (g *Gateway) outcome(at *attempt, failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.Outcome(g.Clock.Now(), at.target.ID, failed)
+}
+
+func (g *Gateway) succeeded(at *attempt) { g.outcome(at, false) }
+
+// unreachable keeps new work from a target until its next sign of life, and
+// for a short time at least.
+func (g *Gateway) unreachable(at *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.board.Outcome(now, at.target.ID, true)
+	g.board.Avoid(at.target.ID, now.Add(g.Config.Retries.AvoidFor.Duration))
+}
+
+// misdirected keeps new work from an address that belongs to another target
+// now, or whose weights aren't those listed, until the list is newer.
+func (g *Gateway) misdirected(at *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.board.Avoid(at.target.ID, g.Clock.Now().Add(g.Config.Retries.AvoidFor.Duration))
+}
+
+// failed records a failure of a target, and the suspicion against a request
+// under which a target died.
+func (g *Gateway) failed(r *run, at *attempt, err error) {
+	var broken *BrokenError
+	lost := errors.As(err, &broken) && broken.Lost
+	now := g.Clock.Now()
+	g.mu.Lock()
+	g.board.Outcome(now, at.target.ID, true)
+	crashes := 0
+	if lost {
+		crashes = g.suspects.Crashed(now, r.work.Fingerprint)
+	}
+	g.mu.Unlock()
+	r.logFailure(at, err, crashes)
+	if lost && g.Crashes != nil {
+		g.Crashes.Crashed(r.work.Fingerprint)
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,155 @@
+// Package gateway carries routed requests from a caller to a target and the
+// answer back. It keeps the promises on what may run again, on limits over all
+// hosts, and on which weights and cache a request may use.
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/config"
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
+	"sassafrasplank.example/sassafrasplank/internal/routing"
+)
+
+// LedgerWriter counts finished placements.
+type LedgerWriter interface {
+	Add(row ledger.Row)
+}
+
+// CrashReporter tells the other hosts of requests that crash targets.
+type CrashReporter interface {
+	// Crashed notes one target that died while a request ran. It doesn't block.
+	Crashed(fingerprint string)
+}
+
+// Gateway runs requests. The exported fields are set before Init.
+type Gateway struct {
+	Host          string
+	FailureDomain string
+	Config        config.Routed
+	Clock         clock.Clock
+	Targets       TargetCaller
+	Fleet         *fleet.View
+	Ledger        LedgerWriter
+	// Crashes may be nil.
+	Crashes CrashReporter
+	Log     *log.Logger
+	Metrics metrics.Registry
+
+	routes atomic.Pointer[routing.Config]
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	board    *placement.Board
+	suspects retry.Suspects
+	budgets  map[string]*retry.Budget
+	weights  map[string]*weights
+	swapping map[string]bool
+	active   atomic.Int64
+}
+
+// Init prepares the decision state. It must be called once.
+func (g *Gateway) Init() {
+	cfg := g.Config
+	g.rng = rand.New(rand.NewPCG(cfg.Placement.Seed, rand.Uint64()))
+	g.board = placement.NewBoard(placement.Params{
+		PreferredCount:  cfg.Placement.PreferredCount,
+		RandomCount:     cfg.Placement.RandomCount,
+		PieceTokens:     cfg.Placement.PieceTokens,
+		IndexEntries:    cfg.Placement.IndexEntries,
+		LongSlotPercent: cfg.Placement.LongSlotPercent,
+		SlowRatio:       cfg.Slowness.SlowRatio,
+		ProbeEvery:      cfg.Slowness.ProbeEvery.Duration,
+		Seed:            g.rng.Uint64(),
+	})
+	g.suspects = retry.Suspects{Attempts: cfg.Retries.SuspectAttempts, Keep: cfg.Retries.SuspectFor.Duration}
+	g.budgets = map[string]*retry.Budget{}
+	g.weights = map[string]*weights{}
+	g.swapping = map[string]bool{}
+}
+
+// Routes returns the configuration in force, nil before the first one.
+func (g *Gateway) Routes() *routing.Config { return g.routes.Load() }
+
+// SetRoutes puts a configuration into force unless it is older than the present
+// one, and reports whether it did.
+func (g *Gateway) SetRoutes(c *routing.Config) bool {
+	for {
+		old := g.routes.Load()
+		if old != nil && old.Version >= c.Version {
+			return false
+		}
+		if g.routes.CompareAndSwap(old, c) {
+			break
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, service := range c.Services {
+		if e := service.Engine; e != nil {
+			g.board.SetFetch(float64(e.BytesPerToken), e.LinkBytesPerSecond)
+		}
+	}
+	g.applyTargets(g.Clock.Now())
+	return true
+}
+
+// Ready reports whether requests can be served: routes and targets are known.
+func (g *Gateway) Ready() bool { return g.routes.Load() != nil && g.Fleet.Known() }
+
+// Active returns the number of requests being served.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
+// TargetsChanged brings the board to the state of the fleet.
+func (g *Gateway) TargetsChanged() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.applyTargets(g.Clock.Now())
+}
+
+// budget returns the retry budget of a service. The lock must be held.
+func (g *Gateway) budget(service string) *retry.Budget {
+	b := g.budgets[service]
+	if b == nil {
+		b = &retry.Budget{Percent: g.Config.Retries.BudgetPercent, Reserve: g.Config.Retries.Reserve}
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// MergeCrashes takes in what other hosts tell of a request: how many targets
+// have died under it and how long ago the last one did.
+func (g *Gateway) MergeCrashes(fingerprint string, crashes int, age time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspects.Merge(g.Clock.Now(), fingerprint, crashes, age)
+}
+
+func (g *Gateway) count(name string) {
+	metrics.GetOrRegisterCounter(name, g.Metrics).Inc(1)
+}
+
+func (g *Gateway) measure(name string, d time.Duration) {
+	sample := metrics.NewExpDecaySample(histogramSample, histogramAlpha)
+	h := g.Metrics.GetOrRegister(name, func() metrics.Histogram { return metrics.NewHistogram(sample) })
+	if histogram, ok := h.(metrics.Histogram); ok {
+		histogram.Update(d.Microseconds())
+	}
+}
+
+// Size and decay of the samples behind latency histograms, as go-metrics
+// proposes them for the last five minutes.
+const (
+	histogramSample = 1028
+	histogramAlpha  = 0.015
+)
--- /dev/null
+++ b/internal/gateway/log.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+)
+
+func (r *run) logPlacement(at *attempt) {
+	chosen := &at.decision.Chosen
+	r.g.Log.Info().Str("part", "placement").
+		Str("requestId", r.work.ID).
+		Int("attempt", r.tries).
+		Str("clientAccount", r.work.Account).
+		Str("route", r.work.Route.Name).
+		Int64("configVersion", r.work.ConfigVersion).
+		Str("service", r.work.Service).
+		Str("version", at.version).
+		Str("target", at.target.ID).
+		Str("address", at.target.Address).
+		Str("reason", string(at.decision.Reason)).
+		Str("source", string(chosen.Source)).
+		Str("from", chosen.From).
+		Float64("waitSeconds", chosen.Wait).
+		Float64("importSeconds", chosen.Import).
+		Float64("prefillSeconds", chosen.Prefill).
+		Float64("penaltySeconds", chosen.Penalty).
+		Int("reusedTokens", chosen.ReusedTokens).
+		Int("promptTokens", r.work.PromptTokens).
+		Int("candidates", len(at.decision.Considered)).
+		Dur("age", r.g.Clock.Now().Sub(r.work.Received)).
+		Msg("placement: chosen")
+}
+
+func (r *run) logFailure(at *attempt, err error, crashes int) {
+	r.g.Log.Warn().Str("part", "attempt").
+		Str("requestId", r.work.ID).
+		Int("attempt", r.tries).
+		Str("target", at.target.ID).
+		Str("address", at.target.Address).
+		Int64("lastEvent", r.after).
+		Int("crashes", crashes).
+		Dur("age", r.g.Clock.Now().Sub(r.work.Received)).
+		Err(err).
+		Msg("attempt: failed")
+}
+
+func (r *run) logDone(at *attempt, status int) {
+	r.g.Log.Info().Str("part", "request").
+		Str("requestId", r.work.ID).
+		Str("target", at.target.ID).
+		Int("attempts", r.tries).
+		Int("status", status).
+		Int("events", r.events).
+		Dur("took", r.g.Clock.Now().Sub(r.work.Received)).
+		Msg("request: done")
+}
+
+func (r *run) logEnd(outcome string, final *failure.Error) {
+	entry := r.g.Log.Warn().Str("part", "request").
+		Str("requestId", r.work.ID).
+		Str("clientAccount", r.work.Account).
+		Str("route", r.work.Route.Name).
+		Int64("configVersion", r.work.ConfigVersion).
+		Str("outcome", outcome).
+		Int("attempts", r.tries).
+		Int("events", r.events).
+		Dur("took", r.g.Clock.Now().Sub(r.work.Received)).
+		Dur("left", r.work.Deadline.Sub(r.g.Clock.Now()).Truncate(time.Millisecond))
+	if final != nil {
+		entry = entry.Int("status", final.Status).Str("code", string(final.Code)).
+			Bool("notRun", final.NotRun).Dur("retryAfter", final.RetryAfter).Str("cause", final.Message)
+	}
+	entry.Msg("request: " + outcome)
+}
--- /dev/null
+++ b/internal/gateway/weights.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+)
+
+// weights are the versions of one model.
+type weights struct {
+	// named is the version that operators asked for, 0 for none, and since when
+	// this host has known of it.
+	named int64
+	since time.Time
+	// held are the versions that targets hold, the newest first.
+	held []int64
+}
+
+// versionName is the name of a model's weights on the board.
+func versionName(model string, version int64) string {
+	return model + "@" + strconv.FormatInt(version, 10)
+}
+
+// plainVersion stands on the board for targets without weights.
+const plainVersion = "plain"
+
+// oldVersionCost is the time in seconds by which a target with older weights
+// must be faster to be preferred.
+const oldVersionCost = 0.3
+
+// SetVersion notes the version of a model that operators ask for. Versions only
+// grow; it reports whether this one is new.
+func (g *Gateway) SetVersion(model string, version int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w := g.model(model)
+	if version <= w.named {
+		return false
+	}
+	w.named = version
+	w.since = g.Clock.Now()
+	return true
+}
+
+func (g *Gateway) model(name string) *weights {
+	w := g.weights[name]
+	if w == nil {
+		w = &weights{}
+		g.weights[name] = w
+	}
+	return w
+}
+
+// applyTargets passes the listed targets to the board. The lock must be held.
+func (g *Gateway) applyTargets(now time.Time) {
+	cfg := g.routes.Load()
+	if cfg == nil {
+		return
+	}
+	targets := g.Fleet.Targets()
+	specs := make([]placement.EngineSpec, 0, len(targets))
+	held := map[string]map[int64]bool{}
+	for _, t := range targets {
+		spec := placement.EngineSpec{
+			Name:          t.ID,
+			FailureDomain: t.FailureDomain,
+			Models:        []string{t.Service},
+			Slots:         max(1, t.Slots),
+			PrefillRate:   g.Config.PlainRate,
+		}
+		if service := cfg.Services[t.Service]; service.Engine != nil {
+			spec.PrefillRate = g.Config.PrefillTokensPerSecond
+			spec.TokenGap = g.Config.TokenGap.Duration
+		}
+		specs = append(specs, spec)
+		for model, version := range t.Versions {
+			if held[model] == nil {
+				held[model] = map[int64]bool{}
+			}
+			held[model][version] = true
+		}
+	}
+	g.board.SetEngines(now, specs)
+	for _, t := range targets {
+		versions := []string{plainVersion}
+		for model, version := range t.Versions {
+			versions = append(versions, versionName(model, version))
+		}
+		g.board.Report(now, t.ID, placement.LoadReport{Versions: versions, Leaving: t.Leaving, Incarnation: t.Started})
+	}
+	for model, versions := range held {
+		w := g.model(model)
+		w.held = slices.Sorted(maps.Keys(versions))
+		slices.Reverse(w.held)
+	}
+}
+
+// oldAllowed reports whether work may still begin on older weights than those
+// that operators asked for. The lock must be held.
+func (g *Gateway) oldAllowed(now time.Time, w *weights) bool {
+	return now.Sub(w.since) < g.Config.OldVersionFor.Duration
+}
+
+// swapWithin is how long a target that is said to swap its weights gets no new
+// work, if nothing else is heard of it. It covers the longest run that the
+// target finishes first.
+const swapWithin = 12 * time.Second
+
+// SetSwapping names the targets that swap their weights now.
+func (g *Gateway) SetSwapping(ids []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	for id := range g.swapping {
+		if !slices.Contains(ids, id) {
+			g.board.Avoid(id, now)
+			delete(g.swapping, id)
+		}
+	}
+	for _, id := range ids {
+		if !g.swapping[id] {
+			g.board.Avoid(id, now.Add(swapWithin))
+			g.swapping[id] = true
+		}
+	}
+	g.Log.Info().Str("part", "weights").Strs("targets", ids).Msg("weights: targets swap")
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -50,6 +50,11 @@
 	scratch []scored
 	holders []prefix.Holder
 	depths  []int
+	// deepest is the engine with the longest held prefix, negative for none.
+	deepest int32
+	// fetchRate is the rate of transfers between engines in bytes per second,
+	// 0 where they can't be made.
+	fetchRate float64
 }
 
 // pool is the set of engines that may run one model.
@@ -188,6 +193,27 @@
 	}
 }
 
+// SetFetch sets the size of a token's cache and the rate in bytes per second at
+// which engines fetch it from each other; 0 for engines that can't.
+func (b *Board) SetFetch(bytesPerToken, rate float64) {
+	b.params.BytesPerToken = bytesPerToken
+	b.fetchRate = rate
+}
+
+// Avoid gives a target no new request until a time.
+func (b *Board) Avoid(target string, until time.Time) {
+	if e := b.find(target); e != nil {
+		e.avoidUntil = until
+	}
+}
+
+// Outcome notes whether a request on a target failed there.
+func (b *Board) Outcome(now time.Time, target string, failed bool) {
+	if e := b.find(target); e != nil {
+		e.outcome(now, failed)
+	}
+}
+
 // Leaving notes that a target is going away, from its own answer or from the
 // host list.
 func (b *Board) Leaving(now time.Time, target string) {
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -23,6 +23,14 @@
 	MayProbe bool
 	// Chain names the cached prefixes of the prompt, the shortest first.
 	Chain []prefix.Key
+	// ChainTokens are the tokens of each of these prefixes; nil stands for
+	// whole pieces.
+	ChainTokens []int
+	// Affinity chooses among targets that are equally good, in the same way on
+	// every host; 0 leaves it to chance.
+	Affinity uint64
+	// FailureDomain is preferred where the difference is small; empty for none.
+	FailureDomain string
 	// Exclude names the targets that were tried already.
 	Exclude []string
 }
@@ -35,6 +43,7 @@
 	SourceNone   Source = "recompute"
 	SourceTarget Source = "reuse"
 	SourceStore  Source = "import"
+	SourceOther  Source = "fetch"
 )
 
 // Reason tells why a target was chosen, or why none was.
@@ -60,6 +69,8 @@
 	Source         Source  `json:"source"`
 	ReusedTokens   int     `json:"reusedTokens"`
 	ImportedTokens int     `json:"importedTokens"`
+	// From is the target from which the cached part is fetched.
+	From string `json:"from,omitempty"`
 
 	number int32
 }
@@ -106,3 +117,14 @@
 
 // Source tells where the cached part of the prompt comes from.
 func (d *Decision) Source() Source { return d.Chosen.Source }
+
+// prefixTokens returns the tokens in the first pieces of the prompt.
+func (r *Request) prefixTokens(pieces, pieceTokens int) int {
+	if pieces == 0 {
+		return 0
+	}
+	if r.ChainTokens == nil {
+		return min(r.PromptTokens, pieces*pieceTokens)
+	}
+	return min(r.PromptTokens, r.ChainTokens[pieces-1])
+}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,11 @@
 	reportMemory = 3 * time.Second
 	// noticeableSlowness is the score below which a target counts as normal.
 	noticeableSlowness = 1.3
+	// outcomeWeight is the weight of one request in the share that failed.
+	outcomeWeight = 0.2
+	// failureHalfLife is the time in which half of that share is forgotten, so
+	// that a target that has recovered is tried again.
+	failureHalfLife = 2 * time.Second
 )
 
 // EngineSpec describes an engine that can be chosen.
@@ -50,6 +56,10 @@
 	leaving     bool
 	leavingAt   time.Time
 	unreachable bool
+	avoidUntil  time.Time
+	// failed is the share of recent requests that failed, as of failedAt.
+	failed   float64
+	failedAt time.Time
 
 	inFlight int
 	long     int
@@ -148,3 +158,21 @@
 	}
 	return max(1, int(float64(e.spec.Slots)*float64(age)/float64(warmUp)))
 }
+
+// failures returns the share of recent requests that failed.
+func (e *engine) failures(now time.Time) float64 {
+	if e.failed == 0 {
+		return 0
+	}
+	return e.failed * math.Exp2(-now.Sub(e.failedAt).Seconds()/failureHalfLife.Seconds())
+}
+
+func (e *engine) outcome(now time.Time, failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	share := e.failures(now)
+	e.failed = share + (sample-share)*outcomeWeight
+	e.failedAt = now
+}
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -20,6 +20,25 @@
 // counts against it when a suspect is placed.
 const suspectWeight = 1
 
+const (
+	// failurePenalty is the time in seconds that a target counts as slower by
+	// if all its recent requests failed.
+	failurePenalty = 2
+	// farPenalty is the time in seconds that a target in another failure domain
+	// counts as slower by: the way there and back, and the price of the bytes.
+	farPenalty = 0.008
+	// fetchDelay is the time in seconds before a transfer between two targets.
+	fetchDelay = 0.002
+	// copyPenalty is the time in seconds that each fetched token counts for the
+	// room that its second copy takes from other prompts.
+	copyPenalty = 1e-6
+)
+
+// affinityScore ranks targets for a prompt by rendezvous hashing.
+func affinityScore(affinity uint64, target string) uint64 {
+	return mix(affinity ^ xxhash.Sum64String(target))
+}
+
 // Place chooses a target for a request and writes the decision into d.
 func (b *Board) Place(now time.Time, req *Request, d *Decision) {
 	considered := d.Considered[:0]
@@ -61,10 +80,14 @@
 func (b *Board) gather(p *pool, req *Request) {
 	b.stamp++
 	b.picked = b.picked[:0]
+	b.deepest = -1
 	b.holders = b.index.Holders(b.holders[:0], req.Chain, b.params.PreferredCount)
 	for _, holder := range b.holders {
 		if b.add(holder.Target) {
 			b.depths[holder.Target] = holder.Pieces
+			if source := b.engines[holder.Target]; b.deepest < 0 && !source.gone && !source.unreachable {
+				b.deepest = holder.Target
+			}
 		}
 	}
 	if len(p.engines) <= scanLimit {
@@ -119,7 +142,7 @@
 }
 
 func (b *Board) eligible(now time.Time, e *engine, req *Request) bool {
-	if e.gone || !e.usable() || !e.holds(req.Version) {
+	if e.gone || !e.usable() || !e.holds(req.Version) || now.Before(e.avoidUntil) {
 		return false
 	}
 	if req.Suspect && e.suspects > 0 {
@@ -140,7 +163,7 @@
 	if slow < noticeableSlowness {
 		slow = 1
 	}
-	reused := min(req.PromptTokens, b.depths[e.number]*b.params.PieceTokens)
+	reused := req.prefixTokens(b.depths[e.number], b.params.PieceTokens)
 	est := Estimate{
 		Target:       e.spec.Name,
 		Wait:         e.expectedWait(slow),
@@ -154,9 +177,14 @@
 	}
 	local := float64(req.PromptTokens-reused) / e.spec.PrefillRate
 	est.Prefill = local * slow
-	if l != nil && storePieces*b.params.PieceTokens > reused {
+	if l != nil && req.prefixTokens(storePieces, b.params.PieceTokens) > reused {
 		b.considerImport(now, &est, e, req, storePieces, l)
 	}
+	b.considerFetch(&est, e, req)
+	est.Penalty += failurePenalty * e.failures(now)
+	if req.FailureDomain != "" && req.FailureDomain != e.spec.FailureDomain {
+		est.Penalty += farPenalty
+	}
 	est.Penalty += answerWeight * (slow - 1) * float64(req.AnswerTokens) * e.spec.TokenGap.Seconds()
 	if req.Suspect {
 		est.Penalty += suspectWeight * float64(e.load())
@@ -167,7 +195,7 @@
 // considerImport replaces the recomputation of a stored part by its import
 // where that is expected to be cheaper.
 func (b *Board) considerImport(now time.Time, est *Estimate, e *engine, req *Request, storePieces int, l *link) {
-	stored := min(req.PromptTokens, storePieces*b.params.PieceTokens)
+	stored := req.prefixTokens(storePieces, b.params.PieceTokens)
 	imported := stored - est.ReusedTokens
 	bytes := float64(imported) * b.params.BytesPerToken
 	rest := float64(req.PromptTokens-stored) / e.spec.PrefillRate
@@ -181,6 +209,29 @@
 	}
 }
 
+// considerFetch replaces the recomputation of a part that another target holds
+// by its transfer from there where that is expected to be cheaper.
+func (b *Board) considerFetch(est *Estimate, e *engine, req *Request) {
+	if b.fetchRate <= 0 || b.deepest < 0 || b.deepest == e.number {
+		return
+	}
+	held := req.prefixTokens(b.depths[b.deepest], b.params.PieceTokens)
+	fetched := held - est.ReusedTokens
+	if fetched <= 0 {
+		return
+	}
+	with := *est
+	with.Source = SourceOther
+	with.From = b.engines[b.deepest].spec.Name
+	with.Import = fetchDelay + float64(fetched)*b.params.BytesPerToken/b.fetchRate
+	with.Prefill = float64(req.PromptTokens-held) / e.spec.PrefillRate * est.Slowness
+	with.ImportedTokens = fetched
+	with.Penalty += float64(fetched) * copyPenalty
+	if with.Total() < est.Total() {
+		*est = with
+	}
+}
+
 // choose takes the least total, a random one of those that are nearly equal.
 func (b *Board) choose(now time.Time, req *Request, d *Decision) {
 	if req.MayProbe && b.probe(now, d) {
@@ -198,7 +249,14 @@
 			continue
 		}
 		ties++
-		if b.rng.IntN(ties) == 0 {
+		switch {
+		case ties == 1:
+			chosen = i
+		case req.Affinity != 0:
+			if affinityScore(req.Affinity, d.Considered[i].Target) > affinityScore(req.Affinity, d.Considered[chosen].Target) {
+				chosen = i
+			}
+		case b.rng.IntN(ties) == 0:
 			chosen = i
 		}
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -21,7 +21,9 @@
 // timeout, counts against the budget of this host, and passes the breaker.
 // All fields are set before the first call.
 type Client struct {
-	HTTP        *http.Client
+	HTTP *http.Client
+	// Codec is the encoding of the table service; nil stands for PlainCodec.
+	Codec       Codec
 	TableURL    string
 	ObjectURL   string
 	HostListURL string
@@ -52,66 +54,86 @@
 
 // Get reads one row. The second result is false when the row is absent.
 func (c *Client) Get(ctx context.Context, table, key string) (Row, bool, error) {
-	var answer struct {
-		Row   Row  `json:"row"`
-		Found bool `json:"found"`
-	}
-	request := Condition{Table: table, Key: key}
-	if err := c.read(ctx, "/table/get", request, &answer); err != nil {
+	page, err := c.read(ctx, c.codec().Get(table, key), c.Timeout)
+	if err != nil {
 		return Row{}, false, fmt.Errorf("getting row %s/%s: %w", table, key, err)
 	}
-	return answer.Row, answer.Found, nil
+	for _, row := range page.Rows {
+		if row.Key == key {
+			return row, true, nil
+		}
+	}
+	return Row{}, false, nil
 }
 
 // Scan reads the rows that s selects.
 func (c *Client) Scan(ctx context.Context, s Scan) ([]Row, error) {
-	var answer struct {
-		Rows []Row `json:"rows"`
+	page, err := c.Page(ctx, s)
+	return page.Rows, err
+}
+
+// Page reads the rows that s selects with the version that a feed goes on from.
+func (c *Client) Page(ctx context.Context, s Scan) (Page, error) {
+	page, err := c.read(ctx, c.codec().Scan(s), c.Timeout)
+	if err != nil {
+		return Page{}, fmt.Errorf("scanning table %s: %w", s.Table, err)
 	}
-	if err := c.read(ctx, "/table/scan", s, &answer); err != nil {
-		return nil, fmt.Errorf("scanning table %s: %w", s.Table, err)
+	return page, nil
+}
+
+// Feed waits until rows of a table have changed after a version, or until wait
+// is over, and returns them. ErrHistoryGone asks for a new read of the table.
+func (c *Client) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Page, error) {
+	page, err := c.read(ctx, c.codec().Feed(table, after, wait), wait+c.Timeout)
+	if err != nil {
+		return Page{}, fmt.Errorf("following table %s: %w", table, err)
 	}
-	return answer.Rows, nil
+	return page, nil
 }
 
 // Commit applies a transaction. It returns a *ConflictError when a condition
 // did not hold, ErrUnavailable when nothing was applied, and
 // ErrUnknownOutcome when the answer was lost.
 func (c *Client) Commit(ctx context.Context, tx Transaction) error {
+	_, err := c.CommitVersion(ctx, tx)
+	return err
+}
+
+// CommitVersion is Commit and returns the version of the rows written, 0 where
+// the service doesn't tell it.
+func (c *Client) CommitVersion(ctx context.Context, tx Transaction) (int64, error) {
 	if err := c.admit(ctx, c.Writes); err != nil {
-		return err
+		return 0, err
 	}
 	c.writeCount.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	response, err := c.send(ctx, http.MethodPost, c.TableURL+"/table/commit", tx)
+	call := c.codec().Commit(tx)
+	response, err := c.send(ctx, call.Method, c.TableURL+call.Path, call.Body)
 	if err != nil {
 		c.tableDone(false)
-		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+		return 0, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 	}
 	defer drain(response)
-	return c.commitResult(response)
-}
-
-func (c *Client) commitResult(response *http.Response) error {
-	switch response.StatusCode {
-	case http.StatusOK:
-		c.tableDone(true)
-		return nil
-	case http.StatusConflict:
-		c.tableDone(true)
-		conflict := &ConflictError{}
-		if err := json.NewDecoder(response.Body).Decode(conflict); err != nil {
-			return fmt.Errorf("%w: %w", ErrUnavailable, err)
-		}
-		return conflict
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		c.tableDone(false)
-		return fmt.Errorf("%w: status %d", ErrUnavailable, response.StatusCode)
-	default:
+	return c.commitResult(response, tx)
+}
+
+func (c *Client) commitResult(response *http.Response, tx Transaction) (int64, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
 		c.tableDone(false)
-		return fmt.Errorf("%w: status %d", ErrUnknownOutcome, response.StatusCode)
+		return 0, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 	}
+	version, err := c.codec().Committed(response.StatusCode, body, tx)
+	c.tableDone(err == nil || IsConflict(err))
+	return version, err
+}
+
+func (c *Client) codec() Codec {
+	if c.Codec == nil {
+		return PlainCodec{}
+	}
+	return c.Codec
 }
 
 // Hosts returns the platform's lagging host list.
@@ -171,22 +193,28 @@
 	return c.ObjectURL + "/objects/" + url.PathEscape(name)
 }
 
-func (c *Client) read(ctx context.Context, path string, request, answer any) error {
+// read makes one reading call within a time.
+func (c *Client) read(ctx context.Context, call Call, within time.Duration) (Page, error) {
 	if err := c.admit(ctx, c.Reads); err != nil {
-		return err
+		return Page{}, err
 	}
 	c.readCount.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	response, err := c.send(ctx, http.MethodPost, c.TableURL+path, request)
+	response, err := c.send(ctx, call.Method, c.TableURL+call.Path, call.Body)
 	if err != nil {
 		c.tableDone(false)
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return Page{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer drain(response)
-	err = decodeOK(response, answer)
-	c.tableDone(err == nil)
-	return err
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		c.tableDone(false)
+		return Page{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	page, err := c.codec().Page(response.StatusCode, body)
+	c.tableDone(err == nil || errors.Is(err, ErrHistoryGone))
+	return page, err
 }
 
 // admit waits for the budget and asks the breaker.
--- /dev/null
+++ b/internal/platform/codec.go
@@ -0,0 +1,97 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Call is one call to the table service, ready to be sent. A Body that is nil
+// sends none.
+type Call struct {
+	Method string
+	Path   string
+	Body   any
+}
+
+// Codec translates calls of the table service into its encoding and back.
+// Errors are those that Client documents.
+type Codec interface {
+	Get(table, key string) Call
+	Scan(s Scan) Call
+	Feed(table string, after int64, wait time.Duration) Call
+	Commit(tx Transaction) Call
+	// Page decodes the answer to Get, Scan or Feed.
+	Page(status int, body []byte) (Page, error)
+	// Committed decodes the answer to Commit and returns the version written.
+	Committed(status int, body []byte, tx Transaction) (int64, error)
+}
+
+// PlainCodec is the encoding of this project's own stand-in.
+type PlainCodec struct{}
+
+// Get reads one row.
+func (PlainCodec) Get(table, key string) Call {
+	return Call{Method: http.MethodPost, Path: "/table/get", Body: Condition{Table: table, Key: key}}
+}
+
+// Scan reads a range of rows.
+func (PlainCodec) Scan(s Scan) Call {
+	return Call{Method: http.MethodPost, Path: "/table/scan", Body: s}
+}
+
+// Feed reads the changes after a version.
+func (PlainCodec) Feed(table string, after int64, wait time.Duration) Call {
+	path := "/table/feed?table=" + table + "&after=" + strconv.FormatInt(after, 10) + "&wait=" + wait.String()
+	return Call{Method: http.MethodGet, Path: path}
+}
+
+// Commit applies a transaction.
+func (PlainCodec) Commit(tx Transaction) Call {
+	return Call{Method: http.MethodPost, Path: "/table/commit", Body: tx}
+}
+
+// Page decodes rows.
+func (PlainCodec) Page(status int, body []byte) (Page, error) {
+	var answer struct {
+		Row     Row   `json:"row"`
+		Found   bool  `json:"found"`
+		Rows    []Row `json:"rows"`
+		Version int64 `json:"version"`
+		More    bool  `json:"more"`
+	}
+	if status == http.StatusGone {
+		return Page{}, ErrHistoryGone
+	}
+	if status != http.StatusOK {
+		return Page{}, fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return Page{}, errors.Join(ErrUnavailable, err)
+	}
+	if answer.Found {
+		answer.Rows = []Row{answer.Row}
+	}
+	return Page{Rows: answer.Rows, Version: answer.Version, More: answer.More}, nil
+}
+
+// Committed decodes the result of a transaction.
+func (PlainCodec) Committed(status int, body []byte, _ Transaction) (int64, error) {
+	switch status {
+	case http.StatusOK:
+		return 0, nil
+	case http.StatusConflict:
+		conflict := &ConflictError{}
+		if err := json.Unmarshal(body, conflict); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		return 0, conflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return 0, fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	default:
+		return 0, fmt.Errorf("%w: status %d", ErrUnknownOutcome, status)
+	}
+}
--- a/internal/platform/row.go
+++ b/internal/platform/row.go
@@ -15,6 +15,17 @@
 	Key     string          `json:"key"`
 	Version int64           `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	// Removed tells in a feed that the row no longer exists.
+	Removed bool `json:"removed,omitempty"`
+}
+
+// Page is the answer to a reading call.
+type Page struct {
+	Rows []Row
+	// Version is the newest version of the service; a feed goes on from it.
+	Version int64
+	// More tells that rows were left out at the end.
+	More bool
 }
 
 // Condition requires a row to have a version at the time of the commit.
@@ -58,12 +69,18 @@
 	Leaving bool   `json:"leaving"`
 }
 
+// SharedTable is the table of what the entry hosts tell each other and agree on.
+const SharedTable = "shared"
+
 // ErrUnavailable says that the service did not carry out the call.
 var ErrUnavailable = errors.New("platform service is unavailable")
 
 // ErrUnknownOutcome says that a write may or may not have taken effect.
 var ErrUnknownOutcome = errors.New("outcome of the write is not known")
 
+// ErrHistoryGone says that the changes after a version can't be told any more.
+var ErrHistoryGone = errors.New("history is no longer kept")
+
 // ErrNotFound says that the object does not exist.
 var ErrNotFound = errors.New("not found")
 
