Share loads between hosts and follow cache events on the routed path

Cause: each host saw an eighth of the load, and took every prompt for unknown that another host had sent. Ruled out: reports of the targets, which are priced as probes.

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -23,6 +23,7 @@
 	Readiness Listener `json:"readiness"`
 	Metrics   Listener `json:"metrics"`
 
+	Peers     RoutedPeers   `json:"peers"`
 	Table     Table         `json:"table"`
 	Placement Placement     `json:"placement"`
 	Slowness  Slowness      `json:"slowness"`
@@ -54,6 +55,17 @@
 	Listen string `json:"listen"`
 }
 
+// RoutedPeers configures the exchanges among the entry hosts.
+type RoutedPeers struct {
+	Listen       string   `json:"listen"`
+	Interval     Duration `json:"interval"`
+	FanOut       int      `json:"fanOut"`
+	SuspectAfter Duration `json:"suspectAfter"`
+	ForgetAfter  Duration `json:"forgetAfter"`
+	// LoadsFor is how long what a peer said of its load is used.
+	LoadsFor Duration `json:"loadsFor"`
+}
+
 // Table configures the client of the table service.
 type Table struct {
 	URL         string   `json:"url"`
@@ -115,6 +127,10 @@
 		Callers:   Listener{Listen: "127.0.0.1:8080"},
 		Readiness: Listener{Listen: "127.0.0.1:8081"},
 		Metrics:   Listener{Listen: "127.0.0.1:8082"},
+		Peers: RoutedPeers{
+			Listen: "127.0.0.1:8083", Interval: Of(200 * time.Millisecond), FanOut: 3,
+			SuspectAfter: Of(5 * time.Second), ForgetAfter: Of(time.Minute), LoadsFor: Of(1500 * time.Millisecond),
+		},
 		Table: Table{
 			CallTimeout:     Of(time.Second),
 			ReadsPerSecond:  20,
@@ -183,6 +199,8 @@
 	k.address(c.Callers.Listen, "/callers/listen")
 	k.address(c.Readiness.Listen, "/readiness/listen")
 	k.address(c.Metrics.Listen, "/metrics/listen")
+	k.address(c.Peers.Listen, "/peers/listen")
+	k.positive(float64(c.Peers.FanOut), "/peers/fanOut", "peers")
 	k.url(c.Table.URL, "/table/url")
 	k.positive(c.Table.ReadsPerSecond, "/table/readsPerSecond", "calls per second")
 	k.positive(c.Table.WritesPerSecond, "/table/writesPerSecond", "calls per second")
@@ -199,6 +217,7 @@
 		"/table/changeWait":    c.Table.ChangeWait,
 		"/table/targetPoll":    c.Table.TargetPoll,
 		"/ledger/flushEvery":   c.Ledger.FlushEvery,
+		"/peers/interval":      c.Peers.Interval,
 		"/rollout/lease":       c.Rollout.Lease,
 		"/rollout/within":      c.Rollout.Within,
 		"/retries/avoidFor":    c.Retries.AvoidFor,
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -181,6 +181,8 @@
 	h.dispatcher.Init()
 	h.group.Ready = h.ready
 	h.group.Local = h.dispatcher
+	h.group.Pools = h.dispatcher
+	h.group.Watcher = h.dispatcher
 	h.group.Records = h.follower
 }
 
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -18,11 +18,12 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/config"
-	"sassafrasplank.example/sassafrasplank/internal/crashes"
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/gateway"
 	"sassafrasplank.example/sassafrasplank/internal/lease"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/peer"
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/rollout"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
@@ -59,6 +60,7 @@
 	OperatorTable, TargetTable string
 	Targets                    gateway.TargetCaller
 	Orders                     rollout.Orderer
+	Caches                     gateway.CacheEventCaller
 	// Callers returns the handler of callers' requests.
 	Callers func(g *gateway.Gateway, stopping func() bool) http.Handler
 
@@ -67,7 +69,8 @@
 	fleet    *fleet.View
 	gateway  *gateway.Gateway
 	leader   *rollout.Leader
-	crashes  *crashes.Board
+	group    *peer.Group
+	hosts    *hostRows
 	writer   *ledger.Writer
 	stopping atomic.Bool
 }
@@ -124,12 +127,7 @@
 		Fleet: h.fleet, Ledger: h.writer, Log: h.Log, Metrics: h.metrics,
 	}
 	h.gateway.Init()
-	h.crashes = &crashes.Board{
-		Host: cfg.Host, Incarnation: incarnation, Table: h.table, Clock: h.Clock, Log: h.Log,
-		Keep: cfg.Retries.SuspectFor.Duration, Merge: h.gateway.MergeCrashes,
-	}
-	h.crashes.Init()
-	h.gateway.Crashes = h.crashes
+	h.buildGroup(incarnation)
 	h.leader = &rollout.Leader{
 		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Order: h.Orders, Clock: h.Clock, Steady: h.Steady, Log: h.Log,
 		Plan: rollout.Plan{
@@ -141,6 +139,24 @@
 	}
 }
 
+func (h *RoutedHost) buildGroup(incarnation int64) {
+	cfg := h.Config
+	url := "http://" + cfg.Peers.Listen
+	h.hosts = &hostRows{
+		Self:  platform.Host{Name: cfg.Host, URL: url, FailureDomain: cfg.FailureDomain, Kind: "entry"},
+		Table: h.table, Clock: h.Clock, Log: h.Log,
+	}
+	h.group = &peer.Group{
+		Self:     membership.Member{Name: cfg.Host, URL: url, FailureDomain: cfg.FailureDomain, Incarnation: incarnation},
+		Params:   membership.Params{SuspectAfter: cfg.Peers.SuspectAfter.Duration, ForgetAfter: cfg.Peers.ForgetAfter.Duration},
+		Interval: cfg.Peers.Interval.Duration, FanOut: cfg.Peers.FanOut, LoadsFor: cfg.Peers.LoadsFor.Duration,
+		HostList: h.hosts, Clock: h.Clock, Log: h.Log, HTTP: &http.Client{Transport: h.Transport},
+		Local: h.gateway, Ledger: h.table, Ready: h.ready,
+	}
+	h.group.Init()
+	h.writer.Mirror, h.writer.Hosts = h.group, h.group.Hosts
+}
+
 // rank spreads hosts evenly over [0, 1).
 func rank(host string) float64 {
 	hash := fnv.New32a()
@@ -162,11 +178,13 @@
 		Client: h.table, Table: platform.SharedTable, Wait: sharedWait, Clock: h.Clock, Log: h.Log,
 		Apply: func(rows []platform.Row, whole bool) {
 			h.leader.Follow(rows, whole)
-			h.crashes.Follow(rows)
+			h.hosts.Follow(rows, whole)
 		},
 	}
 	return []func(context.Context) error{
-		operators.Run, targets.Run, shared.Run, h.writer.Run, h.leader.Run, h.crashes.Run, h.expire, h.announce,
+		operators.Run, targets.Run, shared.Run, h.writer.Run, h.leader.Run, h.hosts.Run, h.group.Run, h.expire, h.announce,
+		func(ctx context.Context) error { h.gateway.FollowPeers(ctx, h.group); return nil },
+		func(ctx context.Context) error { h.gateway.WatchCaches(ctx, h.Caches); return nil },
 	}
 }
 
@@ -291,7 +309,7 @@
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-	}{{h.Config.Callers.Listen, callers}, {h.Config.Readiness.Listen, internal}, {h.Config.Metrics.Listen, internal}} {
+	}{{h.Config.Callers.Listen, callers}, {h.Config.Readiness.Listen, internal}, {h.Config.Metrics.Listen, internal}, {h.Config.Peers.Listen, h.group.Handler()}} {
 		socket, err := new(net.ListenConfig).Listen(context.Background(), "tcp", l.address)
 		if err != nil {
 			for _, open := range listeners {
@@ -332,6 +350,7 @@
 	for _, l := range listeners {
 		l.close(ctx)
 	}
+	h.group.Leave(ctx)
 	flush, cancelFlush := context.WithTimeout(context.WithoutCancel(hasten), h.Config.Table.CallTimeout.Duration)
 	defer cancelFlush()
 	if err := h.writer.Flush(flush); err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -238,7 +238,4 @@
 	}
 	g.mu.Unlock()
 	r.logFailure(at, err, crashes)
-	if lost && g.Crashes != nil {
-		g.Crashes.Crashed(r.work.Fingerprint)
-	}
 }
--- /dev/null
+++ b/internal/gateway/cachewatch.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
+)
+
+const (
+	// cacheWait is how long a target may wait for its next cache event.
+	cacheWait = 900 * time.Millisecond
+	// cachePause gathers the events of some time into one call.
+	cachePause = 150 * time.Millisecond
+	// cacheRetry is the pause after a call that failed, as calls that a target
+	// refuses are not free.
+	cacheRetry = 2 * time.Second
+	// watchEvery is the time between two looks at which targets there are.
+	watchEvery = 500 * time.Millisecond
+)
+
+// CacheEvent tells that a target keeps a part of a prompt, or less of it.
+type CacheEvent struct {
+	Removed bool
+	// Wall is the text under which the part is kept.
+	Wall   string
+	Part   string
+	Tokens int
+}
+
+// CacheEvents are events in their order.
+type CacheEvents struct {
+	// Epoch changes when the target starts anew and holds nothing.
+	Epoch int64
+	// Next is where the next call goes on.
+	Next int64
+	// Lost tells of a gap.
+	Lost   bool
+	Events []CacheEvent
+}
+
+// CacheEventCaller reads cache events.
+type CacheEventCaller interface {
+	CacheEvents(ctx context.Context, t fleet.Target, since int64, wait time.Duration) (CacheEvents, error)
+}
+
+// WatchCaches follows the cache events of all engines until ctx ends. They are
+// hints: what they miss costs time only.
+func (g *Gateway) WatchCaches(ctx context.Context, caller CacheEventCaller) {
+	var watchers sync.WaitGroup
+	watched := map[string]context.CancelFunc{}
+	clock.Every(ctx, g.Clock, watchEvery, func(ctx context.Context) {
+		listed := map[string]bool{}
+		for _, t := range g.Fleet.Targets() {
+			if len(t.Versions) == 0 {
+				continue
+			}
+			listed[t.ID] = true
+			if watched[t.ID] != nil {
+				continue
+			}
+			ctx, cancel := context.WithCancel(ctx)
+			watched[t.ID] = cancel
+			watchers.Go(func() { g.watchCache(ctx, caller, t.ID) })
+		}
+		for id, cancel := range watched {
+			if !listed[id] {
+				cancel()
+				delete(watched, id)
+			}
+		}
+	})
+	for _, cancel := range watched {
+		cancel()
+	}
+	watchers.Wait()
+}
+
+func (g *Gateway) watchCache(ctx context.Context, caller CacheEventCaller, id string) {
+	var since, epoch int64
+	for ctx.Err() == nil {
+		t, ok := g.Fleet.Find(id)
+		if !ok {
+			return
+		}
+		pause := cachePause
+		events, err := caller.CacheEvents(ctx, t, since, cacheWait)
+		if err != nil {
+			g.count("cacheEvents.failed")
+			pause = cacheRetry
+		} else {
+			g.applyCache(id, epoch != 0 && events.Epoch != epoch, events)
+			since, epoch = events.Next, events.Epoch
+		}
+		_ = clock.Sleep(ctx, g.Clock, pause) // The loop looks at ctx.
+	}
+}
+
+func (g *Gateway) applyCache(id string, restarted bool, events CacheEvents) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if restarted {
+		g.board.ForgetCache(id)
+	}
+	if events.Lost {
+		g.count("cacheEvents.gaps")
+	}
+	for _, event := range events.Events {
+		g.board.Cached(id, partKey(event.Wall, event.Part), event.Removed)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,12 +26,6 @@
 	Add(row ledger.Row)
 }
 
-// CrashReporter tells the other hosts of requests that crash targets.
-type CrashReporter interface {
-	// Crashed notes one target that died while a request ran. It doesn't block.
-	Crashed(fingerprint string)
-}
-
 // Gateway runs requests. The exported fields are set before Init.
 type Gateway struct {
 	Host          string
@@ -41,8 +35,6 @@
 	Targets       TargetCaller
 	Fleet         *fleet.View
 	Ledger        LedgerWriter
-	// Crashes may be nil.
-	Crashes CrashReporter
 	Log     *log.Logger
 	Metrics metrics.Registry
 
@@ -127,14 +119,6 @@
 	return b
 }
 
-// MergeCrashes takes in what other hosts tell of a request: how many targets
-// have died under it and how long ago the last one did.
-func (g *Gateway) MergeCrashes(fingerprint string, crashes int, age time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.suspects.Merge(g.Clock.Now(), fingerprint, crashes, age)
-}
-
 func (g *Gateway) count(name string) {
 	metrics.GetOrRegisterCounter(name, g.Metrics).Inc(1)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -137,13 +138,28 @@
 
 // afterBreak follows an attempt that may have run.
 func (r *run) afterBreak(err error) *failure.Error {
-	route := r.work.Route
-	if route.Repeatable() && r.runs < max(1, route.Attempts) && r.tries < r.g.Config.Retries.MostTries && r.spend() {
+	var answered *failedAnswer
+	if errors.As(err, &answered) || r.again() {
 		return nil
 	}
 	return failure.MaybeRun(failure.TargetFailed, "%v", err)
 }
 
+// again takes a further run from what the route and the budget allow.
+func (r *run) again() bool {
+	route := r.work.Route
+	return route.Repeatable() && r.runs < max(1, route.Attempts) && r.tries < r.g.Config.Retries.MostTries && r.spend()
+}
+
+// failedAnswer is a target's failure after which the request may run again, as
+// again has said.
+type failedAnswer struct {
+	status int
+}
+
+// Error tells the status.
+func (e *failedAnswer) Error() string { return fmt.Sprintf("target answered with status %d", e.status) }
+
 // notRunOr returns refusal if no attempt may have run, else that it may have.
 func (r *run) notRunOr(refusal *failure.Error) *failure.Error {
 	if r.runs > 0 {
@@ -288,9 +304,8 @@
 	if head.Status >= http.StatusInternalServerError && r.begun {
 		return &BrokenError{Sent: true, Err: errors.New("a target failed to go on with the stream")}
 	}
-	if head.Status >= http.StatusInternalServerError && r.work.Route.Repeatable() &&
-		r.runs < max(1, r.work.Route.Attempts) && r.tries < r.g.Config.Retries.MostTries {
-		return &BrokenError{Sent: true, Err: errors.New("target answered with a failure")}
+	if head.Status >= http.StatusInternalServerError && r.again() {
+		return &failedAnswer{status: head.Status}
 	}
 	r.g.firstToken(at)
 	if head.Status >= http.StatusInternalServerError {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -116,7 +116,7 @@
 	now := g.Clock.Now()
 	for id := range g.swapping {
 		if !slices.Contains(ids, id) {
-			g.board.Avoid(id, now)
+			g.board.Resume(id)
 			delete(g.swapping, id)
 		}
 	}
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -23,6 +23,9 @@
 const (
 	// callTimeout bounds one call to a peer.
 	callTimeout = 2 * time.Second
+	// exchangeTimeout bounds one exchange, so that a silent peer doesn't hold up
+	// the rounds.
+	exchangeTimeout = time.Second
 	// hostListEvery is the time between two looks at the platform's host list.
 	hostListEvery = 2 * time.Second
 	// reportFor is how long a peer's report is used.
@@ -44,10 +47,18 @@
 	PeerReport() Report
 	// MergeSuspects takes in the suspects of a peer.
 	MergeSuspects(suspects []Suspect)
+}
+
+// PoolDecider decides for other hosts as the home of a pool.
+type PoolDecider interface {
 	// DecideFor admits and places a request of another host.
 	DecideFor(ctx context.Context, request *wire.DecideRequest) (*wire.DecideResponse, error)
 	// ObserveFor takes in what became of decisions for another host.
 	ObserveFor(request *wire.ObserveRequest)
+}
+
+// TargetWatcher hears of targets that leave.
+type TargetWatcher interface {
 	// TargetLeaving notes that the host list shows a target as leaving.
 	TargetLeaving(name string)
 }
@@ -73,8 +84,14 @@
 	Log      *log.Logger
 	HTTP     *http.Client
 	Local    LocalProvider
-	Records  RecordFollower
+	// Pools, Watcher and Records may be nil on hosts whose configuration and
+	// list of targets lie in the table service.
+	Pools   PoolDecider
+	Watcher TargetWatcher
+	Records RecordFollower
 	Ledger   LedgerTable
+	// LoadsFor is how long the loads in a peer's report are used.
+	LoadsFor time.Duration
 	// Ready tells whether the balancer may send requests to this host.
 	Ready func() bool
 
@@ -97,6 +114,9 @@
 func (g *Group) Init() {
 	params := g.Params
 	params.UpdatesPerMessage = updatesPerMessage
+	if g.LoadsFor == 0 {
+		g.LoadsFor = reportFor
+	}
 	g.rng = rand.New(rand.NewPCG(uint64(g.Self.Incarnation), 1))
 	g.table = membership.NewTable(g.Self, params)
 	g.reports = map[string]timedReport{}
@@ -175,7 +195,9 @@
 	g.listed = listed
 	g.mu.Unlock()
 	for _, name := range leaving {
-		g.Local.TargetLeaving(name)
+		if g.Watcher != nil {
+			g.Watcher.TargetLeaving(name)
+		}
 	}
 }
 
@@ -190,7 +212,7 @@
 	}
 	g.mu.Unlock()
 	sentAt := g.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	response, err := wire.NewPeerProtobufClient(url, g.HTTP).Exchange(callCtx, request)
 	if err == nil {
@@ -206,10 +228,13 @@
 // ownReport describes this host with the revisions and the contact it knows.
 func (g *Group) ownReport() Report {
 	report := g.Local.PeerReport()
+	report.Ready = g.Ready()
+	if g.Records == nil {
+		return report
+	}
 	report.Revision = g.Records.Current().Revision
 	report.HighestRevision = max(report.Revision, g.HighestRevision())
 	report.ContactAge, report.ContactKnown = g.bestContact()
-	report.Ready = g.Ready()
 	return report
 }
 
@@ -254,7 +279,7 @@
 	higher := told.HighestRevision > g.highest
 	g.highest = max(g.highest, told.HighestRevision)
 	g.mu.Unlock()
-	if higher {
+	if higher && g.Records != nil {
 		g.Records.Wake()
 	}
 	g.Local.MergeSuspects(told.Suspects)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,12 @@
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 )
 
+// Calls that a host without pools or records of its own can't answer.
+var (
+	errNoPools   = twirp.NewError(twirp.Unimplemented, "this host decides for no pool")
+	errNoRecords = twirp.NewError(twirp.Unimplemented, "this host keeps no records")
+)
+
 // server answers the calls of other entry hosts.
 type server struct {
 	group *Group
@@ -47,6 +53,9 @@
 
 // Catchup returns the records behind a revision.
 func (s *server) Catchup(_ context.Context, request *wire.CatchupRequest) (*wire.CatchupResponse, error) {
+	if s.group.Records == nil {
+		return nil, errNoRecords
+	}
 	catchup := s.group.Records.CatchupFor(request.Since)
 	response := &wire.CatchupResponse{Revision: catchup.Revision, Whole: catchup.Whole}
 	for _, change := range catchup.Changes {
@@ -101,7 +110,10 @@
 
 // Decide admits and places a request of another host.
 func (s *server) Decide(ctx context.Context, request *wire.DecideRequest) (*wire.DecideResponse, error) {
-	response, err := s.group.Local.DecideFor(ctx, request)
+	if s.group.Pools == nil {
+		return nil, errNoPools
+	}
+	response, err := s.group.Pools.DecideFor(ctx, request)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -110,6 +122,9 @@
 
 // Observe takes in what became of decisions.
 func (s *server) Observe(_ context.Context, request *wire.ObserveRequest) (*wire.ObserveResponse, error) {
-	s.group.Local.ObserveFor(request)
+	if s.group.Pools == nil {
+		return nil, errNoPools
+	}
+	s.group.Pools.ObserveFor(request)
 	return &wire.ObserveResponse{}, nil
 }
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -62,6 +62,12 @@
 // freshReports calls f for each report that is young enough, and returns
 // whether every live peer has one. The lock must be held.
 func (g *Group) freshReports(f func(report *Report)) bool {
+	return g.reportsWithin(reportFor, f)
+}
+
+// reportsWithin is freshReports for reports of another age. The lock must be
+// held.
+func (g *Group) reportsWithin(age time.Duration, f func(report *Report)) bool {
 	now := g.Clock.Now()
 	all := true
 	for _, m := range g.table.Members() {
@@ -69,7 +75,7 @@
 			continue
 		}
 		told, ok := g.reports[m.Name]
-		if !ok || now.Sub(told.at) > reportFor {
+		if !ok || now.Sub(told.at) > age {
 			all = false
 			continue
 		}
@@ -83,7 +89,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	loads := map[string]TargetLoad{}
-	g.freshReports(func(report *Report) {
+	g.reportsWithin(g.LoadsFor, func(report *Report) {
 		for _, l := range report.Loads {
 			sum := loads[l.Target]
 			sum.Requests += l.Requests
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -202,11 +202,18 @@
 
 // Avoid gives a target no new request until a time.
 func (b *Board) Avoid(target string, until time.Time) {
-	if e := b.find(target); e != nil {
+	if e := b.find(target); e != nil && until.After(e.avoidUntil) {
 		e.avoidUntil = until
 	}
 }
 
+// Resume ends what Avoid began.
+func (b *Board) Resume(target string) {
+	if e := b.find(target); e != nil {
+		e.avoidUntil = time.Time{}
+	}
+}
+
 // Outcome notes whether a request on a target failed there.
 func (b *Board) Outcome(now time.Time, target string, failed bool) {
 	if e := b.find(target); e != nil {
