Keep prompts' shared parts in the platform's stores and fetch them from there

Change: every shared part is saved once, where transfers begin soonest or most room is; parts are fetched one by one from the fastest source. Swaps of weights keep what still runs after 1.5 s. Ruled out: more affinity, as the memory is full of running prompts.

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -113,6 +113,9 @@
 	// Settle is the time between taking a target out of use and its order, in
 	// which all hosts hear of it.
 	Settle Duration `json:"settle"`
+	// Keep lets the runs that are left after that time go on under the new
+	// weights instead of being finished first.
+	Keep bool `json:"keep"`
 	// Repeat is the time after which an order is given again.
 	Repeat Duration `json:"repeat"`
 	// Within is the time in which all targets hold the weights asked for.
@@ -153,9 +156,9 @@
 			SuspectFor:      Of(2 * time.Minute),
 		},
 		Ledger:  Ledger{FlushEvery: Of(3 * time.Second), BatchRows: 512, WritesPerSecond: 20, BufferRows: 20_000},
-		Rollout: Rollout{Lease: Of(2 * time.Second), Quiet: Of(4 * time.Second), AtOnce: 0.34, Settle: Of(150 * time.Millisecond), Repeat: Of(6 * time.Second), Within: Of(12 * time.Second)},
+		Rollout: Rollout{Lease: Of(2 * time.Second), Quiet: Of(4 * time.Second), AtOnce: 0.25, Settle: Of(1500 * time.Millisecond), Keep: true, Repeat: Of(6 * time.Second), Within: Of(12 * time.Second)},
 
-		PrefillTokensPerSecond: 120_000,
+		PrefillTokensPerSecond: 90_000,
 		TokenGap:               Of(4 * time.Millisecond),
 		PlainRate:              60,
 		OldVersionFor:          Of(10 * time.Second),
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -123,7 +123,7 @@
 		WritesPerSecond: cfg.Ledger.WritesPerSecond,
 	}
 	h.gateway = &gateway.Gateway{
-		Host: cfg.Host, FailureDomain: cfg.FailureDomain, Config: cfg, Clock: h.Clock, Targets: h.Targets,
+		Host: cfg.Host, FailureDomain: cfg.FailureDomain, Config: cfg, Clock: h.Clock, Steady: h.Steady, Targets: h.Targets,
 		Fleet: h.fleet, Ledger: h.writer, Log: h.Log, Metrics: h.metrics,
 	}
 	h.gateway.Init()
@@ -132,7 +132,7 @@
 		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Order: h.Orders, Clock: h.Clock, Steady: h.Steady, Log: h.Log,
 		Plan: rollout.Plan{
 			AtOnce: cfg.Rollout.AtOnce, Within: cfg.Rollout.Within.Duration,
-			Settle: cfg.Rollout.Settle.Duration, Repeat: cfg.Rollout.Repeat.Duration,
+			Settle: cfg.Rollout.Settle.Duration, Keep: cfg.Rollout.Keep, Repeat: cfg.Rollout.Repeat.Duration,
 		},
 		Rank: rank(cfg.Host), Swapping: h.gateway.SetSwapping,
 		Lease: lease.State{Host: cfg.Host, Incarnation: incarnation, Lasts: cfg.Rollout.Lease.Duration, Quiet: cfg.Rollout.Quiet.Duration},
@@ -185,6 +185,7 @@
 		operators.Run, targets.Run, shared.Run, h.writer.Run, h.leader.Run, h.hosts.Run, h.group.Run, h.expire, h.announce,
 		func(ctx context.Context) error { h.gateway.FollowPeers(ctx, h.group); return nil },
 		func(ctx context.Context) error { h.gateway.WatchCaches(ctx, h.Caches); return nil },
+		func(ctx context.Context) error { h.gateway.WatchStores(ctx, h.Caches); return nil },
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -26,8 +26,15 @@
 	version string
 	number  int64
 	wall    string
-	// source is the address to fetch the cached part from, empty for none.
-	source string
+	chain   []prefix.Key
+	// found are the sources of the prompt's parts.
+	found []source
+	// fetch and save are the addresses from and to which parts move, empty for
+	// those that don't; both are nil when none does.
+	fetch, save []string
+	// until ends the reading from stores, in milliseconds on the clock of the
+	// targets; 0 when none is read from.
+	until int64
 }
 
 // placementRequest returns what placement needs to know of work.
@@ -100,19 +107,17 @@
 		return nil
 	}
 	at.target = t
-	if at.decision.Source() == placement.SourceOther {
-		if from, ok := g.Fleet.Find(at.decision.Chosen.From); ok {
-			at.source = from.Address
-		}
-	}
 	req.Version = at.version
-	req.Chain = g.chain(w, at)
+	req.Chain = at.chain
+	if at.chain != nil {
+		g.move(w, at)
+	}
 	at.ticket = g.board.Start(now, req, &at.decision)
 	return at
 }
 
-// chooseWeights prefers the newest weights. Older ones serve while they are
-// allowed and clearly faster, so that a swap doesn't crowd the first targets
+// chooseWeights prefers the newest weights while they answer in time. Otherwise
+// the fastest target serves whose weights are still allowed, so that a swap doesn't crowd the first targets
 // that have finished it.
 func (g *Gateway) chooseWeights(now time.Time, req *placement.Request, w *work.Work) *attempt {
 	model := g.model(w.Model)
@@ -126,9 +131,12 @@
 		if at == nil {
 			continue
 		}
-		if best == nil || at.decision.Chosen.Total()+oldVersionCost < best.decision.Chosen.Total() {
+		if best == nil || at.decision.Chosen.Total() < best.decision.Chosen.Total() {
 			best = at
 		}
+		if best.decision.Chosen.Total() < newVersionShare*w.Route.Goal.Seconds() {
+			break
+		}
 	}
 	return best
 }
@@ -137,9 +145,16 @@
 func (g *Gateway) try(now time.Time, req *placement.Request, w *work.Work, version string, number int64) *attempt {
 	at := &attempt{version: version, number: number}
 	req.Version = version
-	if w.Model != "" {
+	req.Chain, req.FetchSeconds = nil, nil
+	if len(w.Parts) > 0 {
 		at.wall = wall(w, version)
-		req.Chain = g.chain(w, at)
+		at.chain = g.chain(w, at)
+		at.found = g.sources(w, at.chain, g.bytesPerToken, g.fetchRate)
+		req.Chain = at.chain
+		req.FetchSeconds = make([]float64, len(at.found))
+		for i := range at.found {
+			req.FetchSeconds[i] = at.found[i].seconds
+		}
 	}
 	g.board.Place(now, req, &at.decision)
 	if at.decision.Target == "" {
@@ -148,10 +163,26 @@
 	return at
 }
 
-func (g *Gateway) chain(w *work.Work, at *attempt) []prefix.Key {
-	if w.Model == "" {
-		return nil
+// move decides which parts are fetched from elsewhere and which are saved. The
+// lock must be held.
+func (g *Gateway) move(w *work.Work, at *attempt) {
+	chosen := &at.decision.Chosen
+	if chosen.Source == placement.SourceOther {
+		at.fetch = make([]string, len(w.Parts))
+		for i := chosen.FirstPiece; i < chosen.EndPiece; i++ {
+			at.fetch[i] = at.found[i].address
+			if s := at.found[i].store; s != nil {
+				until := s.clock + readLease.Milliseconds()
+				if at.until == 0 || until < at.until {
+					at.until = until
+				}
+			}
+		}
 	}
+	at.save = g.saveTo(w, at.chain)
+}
+
+func (g *Gateway) chain(w *work.Work, at *attempt) []prefix.Key {
 	keys := make([]prefix.Key, 0, len(w.Parts))
 	for _, part := range w.Parts {
 		keys = append(keys, partKey(at.wall, part.Key))
@@ -168,7 +199,9 @@
 		Wall:      at.wall,
 		Version:   at.number,
 		Priority:  r.work.Priority,
-		FetchFrom: at.source,
+		Fetch:     at.fetch,
+		FetchEnd:  at.until,
+		Save:      at.save,
 		After:     r.after,
 	}
 }
--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
-	"sassafrasplank.example/sassafrasplank/internal/fleet"
 )
 
 const (
@@ -36,6 +35,8 @@
 	Epoch int64
 	// Next is where the next call goes on.
 	Next int64
+	// Clock is the clock of the targets in milliseconds.
+	Clock int64
 	// Lost tells of a gap.
 	Lost   bool
 	Events []CacheEvent
@@ -43,7 +44,7 @@
 
 // CacheEventCaller reads cache events.
 type CacheEventCaller interface {
-	CacheEvents(ctx context.Context, t fleet.Target, since int64, wait time.Duration) (CacheEvents, error)
+	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
 }
 
 // WatchCaches follows the cache events of all engines until ctx ends. They are
@@ -86,7 +87,7 @@
 			return
 		}
 		pause := cachePause
-		events, err := caller.CacheEvents(ctx, t, since, cacheWait)
+		events, err := caller.CacheEvents(ctx, t.Address, since, cacheWait)
 		if err != nil {
 			g.count("cacheEvents.failed")
 			pause = cacheRetry
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,9 +32,11 @@
 	FailureDomain string
 	Config        config.Routed
 	Clock         clock.Clock
-	Targets       TargetCaller
-	Fleet         *fleet.View
-	Ledger        LedgerWriter
+	// Steady also counts while the host is suspended.
+	Steady  clock.Clock
+	Targets TargetCaller
+	Fleet   *fleet.View
+	Ledger  LedgerWriter
 	Log     *log.Logger
 	Metrics metrics.Registry
 
@@ -47,7 +49,10 @@
 	budgets  map[string]*retry.Budget
 	weights  map[string]*weights
 	swapping map[string]bool
-	active   atomic.Int64
+	stores   map[string]*cacheStore
+	// bytesPerToken and fetchRate, in bytes per second, are those of the engines.
+	bytesPerToken, fetchRate float64
+	active                   atomic.Int64
 }
 
 // Init prepares the decision state. It must be called once.
@@ -68,6 +73,7 @@
 	g.budgets = map[string]*retry.Budget{}
 	g.weights = map[string]*weights{}
 	g.swapping = map[string]bool{}
+	g.stores = map[string]*cacheStore{}
 }
 
 // Routes returns the configuration in force, nil before the first one.
@@ -87,11 +93,6 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, service := range c.Services {
-		if e := service.Engine; e != nil {
-			g.board.SetFetch(float64(e.BytesPerToken), e.LinkBytesPerSecond)
-		}
-	}
 	g.applyTargets(g.Clock.Now())
 	return true
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -20,7 +20,9 @@
 		Str("address", at.target.Address).
 		Str("reason", string(at.decision.Reason)).
 		Str("source", string(chosen.Source)).
-		Str("from", chosen.From).
+		Strs("fetch", at.fetch).
+		Strs("save", at.save).
+		Int64("fetchEnd", at.until).
 		Float64("waitSeconds", chosen.Wait).
 		Float64("importSeconds", chosen.Import).
 		Float64("prefillSeconds", chosen.Prefill).
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -23,9 +23,13 @@
 	// Version is the version of the weights the target must hold, 0 for any.
 	Version  int64
 	Priority int
-	// FetchFrom is the address from which the target gets the cached part of
-	// the prompt, empty for none.
-	FetchFrom string
+	// Fetch and Save are the addresses from which the target gets the parts of
+	// the prompt, and to which it sends them once they are read; empty for parts
+	// that don't move. Both are nil when none does.
+	Fetch, Save []string
+	// FetchEnd is when parts that aren't fetched by then are read instead, in
+	// milliseconds on the clock of the targets; 0 for no bound.
+	FetchEnd int64
 	// After is the event behind which a stream goes on, eventstream.NoID for
 	// its beginning.
 	After int64
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -27,9 +27,11 @@
 // plainVersion stands on the board for targets without weights.
 const plainVersion = "plain"
 
-// oldVersionCost is the time in seconds by which a target with older weights
-// must be faster to be preferred.
-const oldVersionCost = 0.3
+// newVersionShare is the part of a request's goal within which its first token
+// must be expected from targets with newer weights for these to be preferred to
+// faster targets with older ones. An answer on older weights is worth less to
+// its caller, but a late one is worth less still.
+const newVersionShare = 0.4
 
 // SetVersion notes the version of a model that operators ask for. Versions only
 // grow; it reports whether this one is new.
@@ -60,6 +62,11 @@
 	if cfg == nil {
 		return
 	}
+	for _, service := range cfg.Services {
+		if e := service.Engine; e != nil {
+			g.bytesPerToken, g.fetchRate = float64(e.BytesPerToken), e.LinkBytesPerSecond
+		}
+	}
 	targets := g.Fleet.Targets()
 	specs := make([]placement.EngineSpec, 0, len(targets))
 	held := map[string]map[int64]bool{}
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -89,7 +89,7 @@
 	Pools   PoolDecider
 	Watcher TargetWatcher
 	Records RecordFollower
-	Ledger   LedgerTable
+	Ledger  LedgerTable
 	// LoadsFor is how long the loads in a peer's report are used.
 	LoadsFor time.Duration
 	// Ready tells whether the balancer may send requests to this host.
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -50,11 +50,6 @@
 	scratch []scored
 	holders []prefix.Holder
 	depths  []int
-	// deepest is the engine with the longest held prefix, negative for none.
-	deepest int32
-	// fetchRate is the rate of transfers between engines in bytes per second,
-	// 0 where they can't be made.
-	fetchRate float64
 }
 
 // pool is the set of engines that may run one model.
@@ -193,11 +188,16 @@
 	}
 }
 
-// SetFetch sets the size of a token's cache and the rate in bytes per second at
-// which engines fetch it from each other; 0 for engines that can't.
-func (b *Board) SetFetch(bytesPerToken, rate float64) {
-	b.params.BytesPerToken = bytesPerToken
-	b.fetchRate = rate
+// Holder returns a target that is known to hold a prefix and can be reached,
+// or an empty name.
+func (b *Board) Holder(key prefix.Key) string {
+	b.holders = b.index.Holders(b.holders[:0], []prefix.Key{key}, 1)
+	for _, holder := range b.holders {
+		if e := b.engines[holder.Target]; !e.gone && !e.unreachable {
+			return e.spec.Name
+		}
+	}
+	return ""
 }
 
 // Avoid gives a target no new request until a time.
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -26,6 +26,9 @@
 	// ChainTokens are the tokens of each of these prefixes; nil stands for
 	// whole pieces.
 	ChainTokens []int
+	// FetchSeconds are the times in which each piece can be fetched from
+	// elsewhere; 0 for pieces that can't.
+	FetchSeconds []float64
 	// Affinity chooses among targets that are equally good, in the same way on
 	// every host; 0 leaves it to chance.
 	Affinity uint64
@@ -69,8 +72,9 @@
 	Source         Source  `json:"source"`
 	ReusedTokens   int     `json:"reusedTokens"`
 	ImportedTokens int     `json:"importedTokens"`
-	// From is the target from which the cached part is fetched.
-	From string `json:"from,omitempty"`
+	// FirstPiece to EndPiece are the pieces that are fetched from elsewhere.
+	FirstPiece int `json:"firstPiece,omitempty"`
+	EndPiece   int `json:"endPiece,omitempty"`
 
 	number int32
 }
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -27,8 +27,6 @@
 	// farPenalty is the time in seconds that a target in another failure domain
 	// counts as slower by: the way there and back, and the price of the bytes.
 	farPenalty = 0.008
-	// fetchDelay is the time in seconds before a transfer between two targets.
-	fetchDelay = 0.002
 	// copyPenalty is the time in seconds that each fetched token counts for the
 	// room that its second copy takes from other prompts.
 	copyPenalty = 1e-6
@@ -80,14 +78,10 @@
 func (b *Board) gather(p *pool, req *Request) {
 	b.stamp++
 	b.picked = b.picked[:0]
-	b.deepest = -1
 	b.holders = b.index.Holders(b.holders[:0], req.Chain, b.params.PreferredCount)
 	for _, holder := range b.holders {
 		if b.add(holder.Target) {
 			b.depths[holder.Target] = holder.Pieces
-			if source := b.engines[holder.Target]; b.deepest < 0 && !source.gone && !source.unreachable {
-				b.deepest = holder.Target
-			}
 		}
 	}
 	if len(p.engines) <= scanLimit {
@@ -209,27 +203,27 @@
 	}
 }
 
-// considerFetch replaces the recomputation of a part that another target holds
-// by its transfer from there where that is expected to be cheaper.
+// considerFetch replaces the recomputation of pieces that can be fetched from
+// elsewhere, as far as that is expected to be cheaper.
 func (b *Board) considerFetch(est *Estimate, e *engine, req *Request) {
-	if b.fetchRate <= 0 || b.deepest < 0 || b.deepest == e.number {
-		return
-	}
-	held := req.prefixTokens(b.depths[b.deepest], b.params.PieceTokens)
-	fetched := held - est.ReusedTokens
-	if fetched <= 0 {
-		return
-	}
-	with := *est
-	with.Source = SourceOther
-	with.From = b.engines[b.deepest].spec.Name
-	with.Import = fetchDelay + float64(fetched)*b.params.BytesPerToken/b.fetchRate
-	with.Prefill = float64(req.PromptTokens-held) / e.spec.PrefillRate * est.Slowness
-	with.ImportedTokens = fetched
-	with.Penalty += float64(fetched) * copyPenalty
-	if with.Total() < est.Total() {
-		*est = with
+	held := b.depths[e.number]
+	best := *est
+	seconds := 0.0
+	for piece := held; piece < len(req.FetchSeconds) && req.FetchSeconds[piece] > 0; piece++ {
+		seconds += req.FetchSeconds[piece]
+		tokens := req.prefixTokens(piece+1, b.params.PieceTokens)
+		with := *est
+		with.Source = SourceOther
+		with.Import = seconds
+		with.Prefill = float64(req.PromptTokens-tokens) / e.spec.PrefillRate * est.Slowness
+		with.ImportedTokens = tokens - est.ReusedTokens
+		with.FirstPiece, with.EndPiece = held, piece+1
+		with.Penalty += float64(with.ImportedTokens) * copyPenalty
+		if with.Total() < best.Total() {
+			best = with
+		}
 	}
+	*est = best
 }
 
 // choose takes the least total, a random one of those that are nearly equal.
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -4,6 +4,7 @@
 package rollout
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -38,6 +39,8 @@
 	Within time.Duration
 	// Settle is the time between taking a target out of use and the order.
 	Settle time.Duration
+	// Keep lets runs that are left after Settle go on under the new weights.
+	Keep bool
 	// Repeat is the time after which an order is sent again.
 	Repeat time.Duration
 
@@ -52,6 +55,9 @@
 	// After is the number of orders that the target must have accepted before,
 	// so that an order that is carried out late has no effect.
 	After int64
+	// Keep lets present runs go on under the new weights; otherwise the target
+	// finishes them first.
+	Keep bool
 }
 
 // Update takes in the targets and chooses further ones to swap. It reports
@@ -121,6 +127,10 @@
 	if room <= 0 || len(waiting) == 0 {
 		return false
 	}
+	// Those with the newest weights have the least cached that is of use.
+	slices.SortStableFunc(waiting, func(a, b fleet.Target) int {
+		return cmp.Compare(b.Versions[n.Model], a.Versions[n.Model])
+	})
 	for _, t := range waiting[:min(room, len(waiting))] {
 		p.swaps[t.ID] = &swap{model: n.Model, version: n.Version, chosen: now}
 	}
@@ -152,7 +162,7 @@
 			continue
 		}
 		s.asked = now
-		due = append(due, Order{Target: t, Model: s.model, Version: s.version})
+		due = append(due, Order{Target: t, Model: s.model, Version: s.version, Keep: p.Keep})
 	}
 	return due
 }
