Swap two targets at a time and only as many more as the bound needs

Cause: running requests fill the engines' memory, so each target that is out costs more than it would by prefill alone; a swap that was ordered before a newer version was named stayed out for 6 s.

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -38,9 +38,6 @@
 	// PlainRate is the number of requests a second that one slot of a plain
 	// service is taken to serve.
 	PlainRate float64 `json:"plainRate"`
-	// OldVersionFor is how long new work may begin on older weights after newer
-	// ones were asked for.
-	OldVersionFor Duration `json:"oldVersionFor"`
 	// MemoryBytes is the memory this process may use, 0 for no bound.
 	MemoryBytes int64 `json:"memoryBytes"`
 	// StopDelay is the time between becoming unready and closing the listener,
@@ -106,10 +103,15 @@
 	// Lease is how long a holder of the lease may act after its last renewal.
 	Lease Duration `json:"lease"`
 	// Quiet is the time between the last act of one holder and the first of the
-	// next.
-	Quiet Duration `json:"quiet"`
+	// next, and QuietMargin what is added for orders on their way.
+	Quiet       Duration `json:"quiet"`
+	QuietMargin Duration `json:"quietMargin"`
 	// AtOnce is the share of the targets that swap weights at the same time.
 	AtOnce float64 `json:"atOnce"`
+	// Loads bounds the targets that load weights at the same time.
+	Loads int `json:"loads"`
+	// Drain is the time in which a target gets short work only before it swaps.
+	Drain Duration `json:"drain"`
 	// Settle is the time between taking a target out of use and its order, in
 	// which all hosts hear of it.
 	Settle Duration `json:"settle"`
@@ -120,6 +122,9 @@
 	Repeat Duration `json:"repeat"`
 	// Within is the time in which all targets hold the weights asked for.
 	Within Duration `json:"within"`
+	// Margin is the part of Within at whose beginning no work begins on older
+	// weights any more.
+	Margin Duration `json:"margin"`
 }
 
 // DefaultRouted returns the settings used where a file says nothing.
@@ -156,18 +161,18 @@
 			SuspectFor:      Of(2 * time.Minute),
 		},
 		Ledger:  Ledger{FlushEvery: Of(3 * time.Second), BatchRows: 512, WritesPerSecond: 20, BufferRows: 20_000},
-		Rollout: Rollout{Lease: Of(2 * time.Second), Quiet: Of(4 * time.Second), AtOnce: 0.25, Settle: Of(1500 * time.Millisecond), Keep: true, Repeat: Of(6 * time.Second), Within: Of(12 * time.Second)},
+		Rollout: Rollout{Lease: Of(2 * time.Second), Quiet: Of(3 * time.Second), QuietMargin: Of(800 * time.Millisecond), AtOnce: 0.16, Loads: 2, Drain: Of(300 * time.Millisecond), Settle: Of(150 * time.Millisecond), Keep: true, Repeat: Of(6 * time.Second), Within: Of(12 * time.Second), Margin: Of(1500 * time.Millisecond)},
 
 		PrefillTokensPerSecond: 90_000,
 		TokenGap:               Of(4 * time.Millisecond),
 		PlainRate:              60,
-		OldVersionFor:          Of(10 * time.Second),
 		StopDelay:              Of(3 * time.Second),
 		StopWithin:             Of(7 * time.Second),
 	}
 	cfg.Placement.IndexEntries = 40_000
 	cfg.Placement.WarmUp = Of(0)
 	cfg.Placement.LongSlotPercent = 100
+	cfg.Placement.LongTokens = 64
 	return cfg
 }
 
@@ -213,6 +218,7 @@
 	k.positive(float64(c.Retries.MostTries), "/retries/mostTries", "attempts")
 	k.positive(float64(c.Retries.SilentGoals), "/retries/silentGoals", "goals")
 	k.positive(float64(c.Ledger.BatchRows), "/ledger/batchRows", "rows")
+	k.positive(float64(c.Rollout.Loads), "/rollout/loads", "targets")
 	k.positive(c.Rollout.AtOnce, "/rollout/atOnce", "parts of the targets")
 	k.percent(c.Retries.BudgetPercent, "/retries/budgetPercent")
 	for pointer, value := range map[string]Duration{
@@ -231,6 +237,8 @@
 	}
 	k.require(c.StopDelay.Duration < c.StopWithin.Duration, "/stopDelay",
 		"stopDelay: %s is not shorter than stopWithin, %s", c.StopDelay, c.StopWithin)
+	k.require(c.Rollout.Margin.Duration < c.Rollout.Within.Duration, "/rollout/margin",
+		"rollout.margin: %s is not shorter than rollout.within, %s", c.Rollout.Margin, c.Rollout.Within)
 	k.require(c.Rollout.AtOnce <= 1, "/rollout/atOnce", "rollout.atOnce: want at most 1, got %g", c.Rollout.AtOnce)
 	k.findings.Sort()
 	return k.findings
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -131,11 +131,11 @@
 	h.leader = &rollout.Leader{
 		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Order: h.Orders, Clock: h.Clock, Steady: h.Steady, Log: h.Log,
 		Plan: rollout.Plan{
-			AtOnce: cfg.Rollout.AtOnce, Within: cfg.Rollout.Within.Duration,
+			AtOnce: cfg.Rollout.AtOnce, Loads: cfg.Rollout.Loads, Drain: cfg.Rollout.Drain.Duration, Within: cfg.Rollout.Within.Duration,
 			Settle: cfg.Rollout.Settle.Duration, Keep: cfg.Rollout.Keep, Repeat: cfg.Rollout.Repeat.Duration,
 		},
 		Rank: rank(cfg.Host), Swapping: h.gateway.SetSwapping,
-		Lease: lease.State{Host: cfg.Host, Incarnation: incarnation, Lasts: cfg.Rollout.Lease.Duration, Quiet: cfg.Rollout.Quiet.Duration},
+		Lease: lease.State{Host: cfg.Host, Incarnation: incarnation, Lasts: cfg.Rollout.Lease.Duration, Quiet: cfg.Rollout.Quiet.Duration + cfg.Rollout.QuietMargin.Duration},
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,7 @@
 	if len(w.Parts) > 0 {
 		req.FailureDomain = ""
 		req.AnswerTokens = w.AnswerTokens
+		req.Long = w.AnswerTokens > g.Config.Placement.LongTokens
 		req.ChainTokens = make([]int, 0, len(w.Parts))
 		tokens := 0
 		for _, part := range w.Parts {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -242,7 +242,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer r.g.end(at)
-	dog := newWatchdog(r.silence(), func() { cancel(errSilent) })
+	dog := newWatchdog(r.silence(at), func() { cancel(errSilent) })
 	defer dog.stop()
 	r.sends++
 	r.runs++
@@ -271,12 +271,13 @@
 // silence returns how long an attempt may give no sign of life, 0 for as long
 // as the request has. Only work that may run again is taken from a silent
 // target.
-func (r *run) silence() time.Duration {
+func (r *run) silence(at *attempt) time.Duration {
 	route := r.work.Route
 	if !route.Repeatable() || r.runs+1 >= max(1, route.Attempts) {
 		return 0
 	}
-	return max(r.g.Config.Retries.SilentGoals*route.Goal, r.g.Config.Retries.SilentGoals*route.GapGoal)
+	goals := r.g.Config.Retries.SilentGoals
+	return max(goals*route.Goal, goals*route.GapGoal, goals*at.ticket.ExpectedFirst)
 }
 
 // note records how an attempt ended on the target and returns its error.
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -80,6 +80,7 @@
 		}
 		if service := cfg.Services[t.Service]; service.Engine != nil {
 			spec.PrefillRate = g.Config.PrefillTokensPerSecond
+			spec.MemoryTokens = service.Engine.CacheTokens
 			spec.TokenGap = g.Config.TokenGap.Duration
 		}
 		specs = append(specs, spec)
@@ -108,7 +109,7 @@
 // oldAllowed reports whether work may still begin on older weights than those
 // that operators asked for. The lock must be held.
 func (g *Gateway) oldAllowed(now time.Time, w *weights) bool {
-	return now.Sub(w.since) < g.Config.OldVersionFor.Duration
+	return now.Sub(w.since) < g.Config.Rollout.Within.Duration-g.Config.Rollout.Margin.Duration
 }
 
 // swapWithin is how long a target that is said to swap its weights gets no new
@@ -116,22 +117,27 @@
 // target finishes first.
 const swapWithin = 12 * time.Second
 
-// SetSwapping names the targets that swap their weights now.
-func (g *Gateway) SetSwapping(ids []string) {
+// SetSwapping names the targets that swap their weights now, and those that get
+// short work only until they do.
+func (g *Gateway) SetSwapping(closed, draining []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	for id := range g.swapping {
-		if !slices.Contains(ids, id) {
+		if !slices.Contains(closed, id) {
 			g.board.Resume(id)
 			delete(g.swapping, id)
 		}
+		g.board.Drain(id, time.Time{})
 	}
-	for _, id := range ids {
+	for _, id := range closed {
 		if !g.swapping[id] {
 			g.board.Avoid(id, now.Add(swapWithin))
 			g.swapping[id] = true
 		}
 	}
-	g.Log.Info().Str("part", "weights").Strs("targets", ids).Msg("weights: targets swap")
+	for _, id := range draining {
+		g.board.Drain(id, now.Add(swapWithin))
+	}
+	g.Log.Info().Str("part", "weights").Strs("closed", closed).Strs("draining", draining).Msg("weights: targets swap")
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -16,8 +16,9 @@
 	Incarnation int64 `json:"incarnation"`
 	// Fence grows with each new holder.
 	Fence int64 `json:"fence"`
-	// Busy names what the holder is working on.
+	// Busy names what the holder is working on, Soon what it will be.
 	Busy []string `json:"busy,omitempty"`
+	Soon []string `json:"soon,omitempty"`
 }
 
 // Decode reads and checks a Record.
@@ -107,8 +108,8 @@
 
 // Next returns the record that this host would write, and the version that the
 // row must still have.
-func (s *State) Next(busy []string) (r Record, version int64) {
-	r = Record{Holder: s.Host, Incarnation: s.Incarnation, Fence: s.record.Fence, Busy: busy}
+func (s *State) Next(busy, soon []string) (r Record, version int64) {
+	r = Record{Holder: s.Host, Incarnation: s.Incarnation, Fence: s.record.Fence, Busy: busy, Soon: soon}
 	if !s.mine() {
 		r.Fence++
 	}
@@ -118,8 +119,8 @@
 // Fence returns the fencing number of the present holder.
 func (s *State) Fence() int64 { return s.record.Fence }
 
-// Busy returns what the present holder works on.
-func (s *State) Busy() []string { return s.record.Busy }
+// Record returns what the row holds.
+func (s *State) Record() Record { return s.record }
 
 // Holder returns the host that wrote the row last.
 func (s *State) Holder() string { return s.record.Holder }
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -207,6 +207,13 @@
 	}
 }
 
+// Drain gives a target no new long request until a time.
+func (b *Board) Drain(target string, until time.Time) {
+	if e := b.find(target); e != nil {
+		e.drainUntil = until
+	}
+}
+
 // Resume ends what Avoid began.
 func (b *Board) Resume(target string) {
 	if e := b.find(target); e != nil {
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -114,6 +114,7 @@
 	pool       *pool
 	number     int32
 	prefill    float64
+	held       float64
 	prefilling bool
 	decoding   bool
 	active     bool
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -33,6 +33,9 @@
 	// PrefillRate is in prompt tokens per second, idle.
 	PrefillRate float64
 	TokenGap    time.Duration
+	// MemoryTokens is the room for the prompts and answers of running requests,
+	// 0 where it doesn't bind.
+	MemoryTokens int
 }
 
 // LoadReport is what an engine said of its load, late.
@@ -57,6 +60,7 @@
 	leavingAt   time.Time
 	unreachable bool
 	avoidUntil  time.Time
+	drainUntil  time.Time
 	// failed is the share of recent requests that failed, as of failedAt.
 	failed   float64
 	failedAt time.Time
@@ -67,12 +71,14 @@
 	// suspectLeft is when a suspect last ended without a first token.
 	suspectLeft   time.Time
 	prefillTokens float64
-	peerInFlight  int
-	peerPrefill   float64
-	external      int
-	peakInFlight  int
-	peakAt        time.Time
-	jobTime       time.Duration
+	// heldTokens are those of the prompts and answers of own requests.
+	heldTokens   float64
+	peerInFlight int
+	peerPrefill  float64
+	external     int
+	peakInFlight int
+	peakAt       time.Time
+	jobTime      time.Duration
 
 	slow      slowness.Tracker
 	tokens    slowness.TokenRate
@@ -142,9 +148,33 @@
 	if over := e.load() - e.spec.Slots + 1; over > 0 {
 		wait += float64(over) * e.jobTime.Seconds() / float64(e.spec.Slots)
 	}
+	wait += float64(e.load()) * runningCost
 	return wait * slow
 }
 
+const (
+	// runningCost is the time in seconds by which each running request slows a
+	// new one.
+	runningCost = 0.0005
+	// memoryShare is the part of an engine's memory that may be taken before
+	// new requests wait. The rest is for answers that grow.
+	memoryShare = 0.9
+)
+
+// memoryWait estimates the time in seconds until a request of some tokens finds
+// room. Requests of peers are taken to be as large as the own ones.
+func (e *engine) memoryWait(tokens int) float64 {
+	if e.spec.MemoryTokens == 0 || e.inFlight == 0 {
+		return 0
+	}
+	held := e.heldTokens / float64(e.inFlight) * float64(e.load())
+	over := held + float64(tokens) - memoryShare*float64(e.spec.MemoryTokens)
+	if over <= 0 {
+		return 0
+	}
+	return over / held * e.jobTime.Seconds()
+}
+
 // longSlots returns how many long requests may run at the same time.
 func (e *engine) longSlots(percent float64) int {
 	return max(1, int(float64(e.spec.Slots)*percent/100))
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -136,7 +136,8 @@
 }
 
 func (b *Board) eligible(now time.Time, e *engine, req *Request) bool {
-	if e.gone || !e.usable() || !e.holds(req.Version) || now.Before(e.avoidUntil) {
+	if e.gone || !e.usable() || !e.holds(req.Version) || now.Before(e.avoidUntil) ||
+		(req.Long && now.Before(e.drainUntil)) {
 		return false
 	}
 	if req.Suspect && e.suspects > 0 {
@@ -160,7 +161,7 @@
 	reused := req.prefixTokens(b.depths[e.number], b.params.PieceTokens)
 	est := Estimate{
 		Target:       e.spec.Name,
-		Wait:         e.expectedWait(slow),
+		Wait:         e.expectedWait(slow) + e.memoryWait(req.PromptTokens),
 		Slowness:     slow,
 		Source:       SourceNone,
 		ReusedTokens: reused,
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -26,11 +26,13 @@
 		pool:          b.pools[req.Model],
 		number:        e.number,
 		prefill:       float64(max(0, recomputed)),
+		held:          float64(req.PromptTokens + req.AnswerTokens),
 		prefilling:    true,
 		active:        true,
 	}
 	e.inFlight++
 	e.prefillTokens += t.prefill
+	e.heldTokens += t.held
 	if t.Suspect {
 		e.suspects++
 	}
@@ -118,6 +120,7 @@
 		e.suspectLeft = now
 	}
 	e.inFlight--
+	e.heldTokens = max(0, e.heldTokens-t.held)
 	if t.decoding {
 		t.decoding = false
 		e.tokens.Streams(now, e.spec.TokenGap, -1)
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -68,15 +68,16 @@
 	Plan   Plan
 	// Rank orders the hosts that want the lease; it is in [0, 1).
 	Rank float64
-	// Swapping is told which targets are swapping.
-	Swapping func(ids []string)
+	// Swapping is told which targets are out of use, and which get short work
+	// only.
+	Swapping func(closed, draining []string)
 	Lease    lease.State
 
 	mu    sync.Mutex
 	named map[string]Named
 	// wanted is since when this host has wanted the lease.
 	wanted time.Time
-	told   []string
+	told   lease.Record
 }
 
 // Name takes in the version that operators ask for.
@@ -125,17 +126,17 @@
 	if !l.Lease.Holds(now, 0) {
 		l.Plan.Forget()
 	}
-	l.tell(l.Lease.Busy())
+	l.tell(l.Lease.Record())
 }
 
 // tell passes the swapping targets on when they have changed. The lock must be
 // held.
-func (l *Leader) tell(ids []string) {
-	if slices.Equal(ids, l.told) {
+func (l *Leader) tell(r lease.Record) {
+	if slices.Equal(r.Busy, l.told.Busy) && slices.Equal(r.Soon, l.told.Soon) {
 		return
 	}
-	l.told = slices.Clone(ids)
-	l.Swapping(l.told)
+	l.told = r
+	l.Swapping(r.Busy, r.Soon)
 }
 
 // Run looks for work until ctx ends.
@@ -150,7 +151,7 @@
 	named := l.namedList()
 	due := anyBehind(targets, named)
 	now := l.Steady.Now()
-	if !due && len(l.Plan.Swapping()) == 0 {
+	if !due && l.Plan.Idle() {
 		l.wanted = time.Time{}
 		l.mu.Unlock()
 		return
@@ -248,7 +249,7 @@
 		l.Log.Info().Str("part", "rollout").Int64("fence", r.Fence).Int64("rowVersion", written).
 			Msg("rollout: this host holds the lease")
 	}
-	l.tell(r.Busy)
+	l.tell(r)
 	return true
 }
 
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -24,8 +24,10 @@
 type swap struct {
 	model   string
 	version int64
-	// chosen is when the target was taken out of use, ordered when it accepted.
+	// chosen is when the target got its last long work, closed when it got its
+	// last work at all, ordered when it accepted the order.
 	chosen  time.Time
+	closed  time.Time
 	ordered time.Time
 	asked   time.Time
 }
@@ -35,16 +37,49 @@
 type Plan struct {
 	// AtOnce is the share of a model's targets that swap at the same time.
 	AtOnce float64
-	// Within is the time in which all targets hold the version asked for.
+	// Within is the time in which all targets have to hold the version asked for.
+	// More of them swap at once where that is needed.
 	Within time.Duration
+	// Loads bounds the targets that load weights at the same time.
+	Loads int
+	// Drain is the time in which a target gets short work only, so that few long
+	// runs are left when it swaps.
+	Drain time.Duration
 	// Settle is the time between taking a target out of use and the order.
 	Settle time.Duration
-	// Keep lets runs that are left after Settle go on under the new weights.
+	// Keep lets runs that are left go on under the new weights.
 	Keep bool
 	// Repeat is the time after which an order is sent again.
 	Repeat time.Duration
 
 	swaps map[string]*swap
+	// loads is Loads, or more where time is short.
+	loads int
+	// took is the usual time of a swap, from the choice of a target to its end.
+	took time.Duration
+}
+
+const (
+	// firstTook is assumed before the first swap has ended.
+	firstTook = 3 * time.Second
+	// tookWeight is the weight of one swap in the usual time.
+	tookWeight = 0.3
+	// spareShare is the part of Within that is kept for swaps that take longer.
+	spareShare = 0.2
+)
+
+// needed returns how many targets have to swap at once so that all of them are
+// done in time.
+func (p *Plan) needed(elapsed time.Duration, left int) int {
+	took := p.took
+	if took == 0 {
+		took = firstTook
+	}
+	rest := time.Duration(float64(p.Within)*(1-spareShare)) - elapsed
+	if rest <= took {
+		return left
+	}
+	return int(math.Ceil(float64(left) * took.Seconds() / rest.Seconds()))
 }
 
 // Order is one order that is due.
@@ -66,23 +101,52 @@
 	if p.swaps == nil {
 		p.swaps = map[string]*swap{}
 	}
-	changed := p.forget(targets, named)
+	changed := p.forget(now, targets, named)
 	for _, n := range named {
 		if p.choose(now, targets, n) {
 			changed = true
 		}
 	}
-	return changed
+	return p.close(now) || changed
+}
+
+// close takes targets out of use that have drained long enough, those that were
+// chosen first.
+func (p *Plan) close(now time.Time) bool {
+	var drained []string
+	room := max(p.loads, p.Loads)
+	for id, s := range p.swaps {
+		switch {
+		case !s.closed.IsZero():
+			room--
+		case now.Sub(s.chosen) >= p.Drain:
+			drained = append(drained, id)
+		}
+	}
+	slices.SortFunc(drained, func(a, b string) int {
+		return cmp.Or(p.swaps[a].chosen.Compare(p.swaps[b].chosen), cmp.Compare(a, b))
+	})
+	drained = drained[:min(len(drained), max(0, room))]
+	for _, id := range drained {
+		p.swaps[id].closed = now
+	}
+	return len(drained) > 0
 }
 
 // forget drops the swaps that are done, and those of targets that are gone.
-func (p *Plan) forget(targets []fleet.Target, named []Named) bool {
+func (p *Plan) forget(now time.Time, targets []fleet.Target, named []Named) bool {
 	due := map[string]bool{}
 	for _, t := range targets {
+		s := p.swaps[t.ID]
+		if s == nil {
+			continue
+		}
+		if t.Versions[s.model] >= s.version {
+			p.learn(now.Sub(s.chosen))
+			continue
+		}
 		for _, n := range named {
-			if behind(t, n) {
-				due[t.ID] = true
-			}
+			due[t.ID] = due[t.ID] || behind(t, n)
 		}
 	}
 	changed := false
@@ -95,6 +159,15 @@
 	return changed
 }
 
+// learn takes the time of a finished swap into the usual one.
+func (p *Plan) learn(took time.Duration) {
+	if p.took == 0 {
+		p.took = took
+		return
+	}
+	p.took += time.Duration(tookWeight * float64(took-p.took))
+}
+
 // behind reports whether a target has to be brought to a version.
 func behind(t fleet.Target, n Named) bool {
 	version, holds := t.Versions[n.Model]
@@ -114,16 +187,17 @@
 			continue
 		}
 		if s := p.swaps[t.ID]; s != nil {
-			s.version = max(s.version, n.Version)
+			if s.ordered.IsZero() {
+				s.version = max(s.version, n.Version)
+			}
 			swapping++
 			continue
 		}
 		waiting = append(waiting, t)
 	}
-	room := max(1, int(math.Ceil(p.AtOnce*float64(holders)))) - swapping
-	if now.Sub(n.Since) > p.Within {
-		room = len(waiting)
-	}
+	atOnce := max(1, int(math.Ceil(p.AtOnce*float64(holders))), p.needed(now.Sub(n.Since), len(waiting)+swapping))
+	p.loads = max(p.Loads, atOnce)
+	room := atOnce - swapping
 	if room <= 0 || len(waiting) == 0 {
 		return false
 	}
@@ -137,22 +211,30 @@
 	return true
 }
 
-// Swapping names the targets that are out of use, in order.
-func (p *Plan) Swapping() []string {
-	ids := make([]string, 0, len(p.swaps))
-	for id := range p.swaps {
-		ids = append(ids, id)
+// Swapping names the targets that are out of use, and those that get short work
+// only, each in order.
+func (p *Plan) Swapping() (closed, draining []string) {
+	for id, s := range p.swaps {
+		if s.closed.IsZero() {
+			draining = append(draining, id)
+		} else {
+			closed = append(closed, id)
+		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.Sort(closed)
+	slices.Sort(draining)
+	return closed, draining
 }
 
+// Idle reports whether no target swaps.
+func (p *Plan) Idle() bool { return len(p.swaps) == 0 }
+
 // Due returns the orders to be sent now and notes them as sent.
 func (p *Plan) Due(now time.Time, targets []fleet.Target) []Order {
 	var due []Order
 	for _, t := range targets {
 		s := p.swaps[t.ID]
-		if s == nil || now.Sub(s.chosen) < p.Settle {
+		if s == nil || s.closed.IsZero() || now.Sub(s.closed) < p.Settle {
 			continue
 		}
 		if !s.ordered.IsZero() && now.Sub(s.ordered) < p.Repeat {
