Follow the table service by peers where it gives a host no answer

Ruled out: shorter polls, since the service refuses or is silent. Change: each host keeps a copy of the tables it follows, tells its peers the newest row of each, and asks the one that is ahead.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -71,6 +71,7 @@
 	leader   *rollout.Leader
 	group    *peer.Group
 	hosts    *hostRows
+	copies   tableCopies
 	writer   *ledger.Writer
 	stopping atomic.Bool
 }
@@ -78,6 +79,8 @@
 // Run serves until stop ends, then stops as planned; hasten cuts that short.
 func (h *RoutedHost) Run(stop, hasten context.Context) error {
 	h.build()
+	h.copies = h.follow()
+	h.group.Tables = h.copies
 	h.Log.Info().Str("part", "entry").Str("host", h.Config.Host).Str("failureDomain", h.Config.FailureDomain).
 		Str("callers", h.Config.Callers.Listen).Str("table", h.Config.Table.URL).Msg("entry: start")
 	servers, err := h.listen()
@@ -164,29 +167,38 @@
 	return float64(hash.Sum32()) / (1 << 32)
 }
 
-func (h *RoutedHost) duties() []func(context.Context) error {
-	operators := &platform.Follower{
-		Client: h.table, Table: h.OperatorTable, Wait: h.Config.Table.ChangeWait.Duration,
-		Clock: h.Clock, Log: h.Log, Apply: h.applyOperators,
-	}
+func (h *RoutedHost) follow() tableCopies {
+	table := h.Config.Table
+	operators := &platform.Follower{Table: h.OperatorTable, Wait: table.ChangeWait.Duration, Apply: h.applyOperators}
 	targets := &platform.Follower{
-		Client: h.table, Table: h.TargetTable, Wait: h.Config.Table.ChangeWait.Duration, Pause: h.Config.Table.TargetPoll.Duration,
-		Clock: h.Clock, Log: h.Log, Apply: h.applyTargets,
+		Table: h.TargetTable, Wait: table.ChangeWait.Duration, Pause: table.TargetPoll.Duration, Apply: h.applyTargets,
 		Lost: h.fleet.Away, Regained: func() { h.fleet.Back(h.Clock.Now()) },
 	}
 	shared := &platform.Follower{
-		Client: h.table, Table: platform.SharedTable, Wait: sharedWait, Clock: h.Clock, Log: h.Log,
+		Table: platform.SharedTable, Wait: sharedWait,
 		Apply: func(rows []platform.Row, whole bool) {
 			h.leader.Follow(rows, whole)
 			h.hosts.Follow(rows, whole)
 		},
 	}
-	return []func(context.Context) error{
-		operators.Run, targets.Run, shared.Run, h.writer.Run, h.leader.Run, h.hosts.Run, h.group.Run, h.expire, h.announce,
+	followers := tableCopies{operators, targets, shared}
+	for _, f := range followers {
+		f.Client, f.Relay, f.Clock, f.Log = h.table, h.group, h.Clock, h.Log
+	}
+	return followers
+}
+
+func (h *RoutedHost) duties() []func(context.Context) error {
+	duties := []func(context.Context) error{
+		h.writer.Run, h.leader.Run, h.hosts.Run, h.group.Run, h.expire, h.announce,
 		func(ctx context.Context) error { h.gateway.FollowPeers(ctx, h.group); return nil },
 		func(ctx context.Context) error { h.gateway.WatchCaches(ctx, h.Caches); return nil },
 		func(ctx context.Context) error { h.gateway.WatchStores(ctx, h.Caches); return nil },
 	}
+	for _, f := range h.copies {
+		duties = append(duties, f.Run)
+	}
+	return duties
 }
 
 // applyOperators takes in the configuration and the versions of weights.
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -89,7 +89,9 @@
 	Pools   PoolDecider
 	Watcher TargetWatcher
 	Records RecordFollower
-	Ledger  LedgerTable
+	// Tables may be nil on hosts that follow none.
+	Tables TableCopier
+	Ledger LedgerTable
 	// LoadsFor is how long the loads in a peer's report are used.
 	LoadsFor time.Duration
 	// Ready tells whether the balancer may send requests to this host.
@@ -229,6 +231,11 @@
 func (g *Group) ownReport() Report {
 	report := g.Local.PeerReport()
 	report.Ready = g.Ready()
+	if g.Tables != nil {
+		for table, version := range g.Tables.Newest() {
+			report.Tables = append(report.Tables, TableVersion{Table: table, Version: version})
+		}
+	}
 	if g.Records == nil {
 		return report
 	}
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -34,6 +34,7 @@
 	Demands  []AccountDemand
 	Loads    []TargetLoad
 	Suspects []Suspect
+	Tables   []TableVersion
 }
 
 // AccountDemand is the demand of a client account at one host.
@@ -83,6 +84,9 @@
 	for _, s := range r.Suspects {
 		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: s.Fingerprint, Crashes: int32(s.Crashes), AgeMillis: s.Age.Milliseconds()})
 	}
+	for _, t := range r.Tables {
+		encoded.Tables = append(encoded.Tables, &wire.TableVersion{Table: t.Table, Version: t.Version})
+	}
 	return encoded
 }
 
@@ -91,7 +95,7 @@
 	if w == nil {
 		return Report{}, errors.New("peer report: is missing")
 	}
-	if len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects {
+	if len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects || len(w.Tables) > maxTables {
 		return Report{}, errors.New("peer report: has too many entries")
 	}
 	if w.Revision < 0 || w.HighestRevision < w.Revision || w.RequestsInFlight < 0 {
@@ -105,6 +109,9 @@
 		RequestsInFlight: int(w.RequestsInFlight),
 		Ready:            w.Ready,
 	}
+	for _, t := range w.Tables {
+		r.Tables = append(r.Tables, TableVersion{Table: t.Table, Version: t.Version})
+	}
 	return r, errors.Join(r.decodeDemands(w.Demands), r.decodeLoads(w.Loads), r.decodeSuspects(w.Suspects))
 }
 
