--- /dev/null
+++ b/internal/gateway/fake_test.go
@@ -0,0 +1,221 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/config"
+	"sassafrasplank.example/sassafrasplank/internal/eventstream"
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
+	"sassafrasplank.example/sassafrasplank/internal/gateway"
+	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/routing"
+	"sassafrasplank.example/sassafrasplank/internal/work"
+)
+
+// fakeTargets answers calls by a script, one entry a call.
+type fakeTargets struct {
+	mu     sync.Mutex
+	script []func(ctx context.Context, call *gateway.Call) (gateway.Reply, error)
+	calls  []gateway.Call
+}
+
+func (f *fakeTargets) Send(ctx context.Context, call *gateway.Call) (gateway.Reply, error) {
+	f.mu.Lock()
+	n := len(f.calls)
+	f.calls = append(f.calls, *call)
+	next := f.script[min(n, len(f.script)-1)]
+	f.mu.Unlock()
+	return next(ctx, call)
+}
+
+func (f *fakeTargets) targets() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []string
+	for _, call := range f.calls {
+		ids = append(ids, call.Target.ID)
+	}
+	return ids
+}
+
+// fakeReply is an answer with events, or a whole one.
+type fakeReply struct {
+	ctx    context.Context
+	status int
+	body   string
+	// events are sent from the first one behind after; last follows them.
+	events []eventstream.Event
+	last   error
+	// hang waits for the end of the attempt instead of last.
+	hang bool
+}
+
+func (r *fakeReply) Head() work.Head {
+	return work.Head{Status: r.status, Header: http.Header{"Seal": {"s"}}}
+}
+
+func (r *fakeReply) Next() (eventstream.Event, error) {
+	if len(r.events) == 0 {
+		if r.hang {
+			<-r.ctx.Done()
+			return eventstream.Event{}, r.ctx.Err()
+		}
+		return eventstream.Event{}, r.last
+	}
+	event := r.events[0]
+	r.events = r.events[1:]
+	return event, nil
+}
+
+func (r *fakeReply) Whole() ([]byte, error) {
+	if r.hang {
+		<-r.ctx.Done()
+		return nil, &gateway.BrokenError{Sent: true, Err: r.ctx.Err()}
+	}
+	if r.last != nil {
+		return nil, r.last
+	}
+	return []byte(r.body), nil
+}
+
+func (r *fakeReply) Close() {}
+
+func numbered(from, to int64) []eventstream.Event {
+	var events []eventstream.Event
+	for id := from; id <= to; id++ {
+		events = append(events, eventstream.Event{ID: id, Raw: []byte{byte('0' + id)}})
+	}
+	return events
+}
+
+type step = func(ctx context.Context, call *gateway.Call) (gateway.Reply, error)
+
+func answer(status int, body string) step {
+	return func(context.Context, *gateway.Call) (gateway.Reply, error) {
+		return &fakeReply{status: status, body: body}, nil
+	}
+}
+
+func stream(from, to int64, last error) step {
+	return func(context.Context, *gateway.Call) (gateway.Reply, error) {
+		return &fakeReply{status: http.StatusOK, events: numbered(from, to), last: last}, nil
+	}
+}
+
+func silent(from, to int64) step {
+	return func(ctx context.Context, _ *gateway.Call) (gateway.Reply, error) {
+		return &fakeReply{ctx: ctx, status: http.StatusOK, events: numbered(from, to), hang: true}, nil
+	}
+}
+
+func fails(err error) step {
+	return func(context.Context, *gateway.Call) (gateway.Reply, error) { return nil, err }
+}
+
+// fakeSink keeps what the caller gets.
+type fakeSink struct {
+	status  int
+	body    string
+	begun   int
+	refused *failure.Error
+	aborted bool
+}
+
+func (s *fakeSink) Answer(head work.Head, body []byte) error {
+	s.status, s.body = head.Status, string(body)
+	return nil
+}
+
+func (s *fakeSink) Begin(head work.Head) error {
+	s.status = head.Status
+	s.begun++
+	return nil
+}
+
+func (s *fakeSink) Event(raw []byte) error {
+	s.body += string(raw)
+	return nil
+}
+
+func (s *fakeSink) Refuse(err *failure.Error) { s.refused = err }
+
+func (s *fakeSink) Abort() { s.aborted = true }
+
+type rows struct{ list []ledger.Row }
+
+func (r *rows) Add(row ledger.Row) { r.list = append(r.list, row) }
+
+// world is a gateway before three plain targets and two engines.
+type world struct {
+	*gateway.Gateway
+	targets *fakeTargets
+	ledger  *rows
+}
+
+const (
+	docks  = "docks"
+	loom   = "loom"
+	letter = "letter"
+)
+
+func newWorld(t *testing.T, script ...step) *world {
+	t.Helper()
+	w := &world{targets: &fakeTargets{script: script}, ledger: &rows{}}
+	view := fleet.NewView()
+	for _, id := range []string{"d1", "d2", "d3"} {
+		view.Put(fleet.Target{ID: id, Service: docks, Address: "10.0.0.1:1", Slots: 6})
+	}
+	for _, id := range []string{"e1", "e2"} {
+		view.Put(fleet.Target{ID: id, Service: loom, Address: id + ":1", Slots: 16, Versions: map[string]int64{letter: 1}})
+	}
+	cfg := config.DefaultRouted()
+	cfg.Host, cfg.FailureDomain = "h", "north"
+	w.Gateway = &gateway.Gateway{
+		Host: "h", FailureDomain: "north", Config: cfg, Clock: clock.System{}, Steady: clock.System{}, Targets: w.targets,
+		Fleet: view, Ledger: w.ledger, Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Metrics: metrics.NewRegistry(),
+	}
+	w.Init()
+	w.SetRoutes(&routing.Config{Version: 1, Services: map[string]routing.Service{
+		docks: {Name: docks},
+		loom:  {Name: loom, Engine: &routing.Engine{Slots: 16, BytesPerToken: 1000, LinkBytesPerSecond: 1e9, TokensPerEvent: 1}},
+	}})
+	return w
+}
+
+func request(kind routing.Kind, attempts int) *work.Work {
+	now := time.Now()
+	w := &work.Work{
+		ID: "r1", Service: docks, Received: now, Deadline: now.Add(5 * time.Second), After: eventstream.NoID, Fingerprint: "f",
+		Route: &routing.Route{Name: "r", Kind: kind, Attempts: attempts, Timeout: 5 * time.Second, Goal: 100 * time.Millisecond},
+	}
+	if kind == routing.Stream {
+		w.Service, w.Model = loom, letter
+		w.PromptTokens, w.AnswerTokens = 300, 20
+		w.Parts = []work.Part{{Key: "shared", Tokens: 200}, {Key: "own", Tokens: 100}}
+	}
+	return w
+}
+
+func (w *world) serve(item *work.Work) *fakeSink {
+	s := &fakeSink{}
+	w.Serve(context.Background(), item, s)
+	return s
+}
+
+func distinct(ids []string) int {
+	ids = slices.Clone(ids)
+	slices.Sort(ids)
+	return len(slices.Compact(ids))
+}
--- /dev/null
+++ b/internal/gateway/run_test.go
@@ -0,0 +1,208 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sassafrasplank.example/sassafrasplank/internal/eventstream"
+	"sassafrasplank.example/sassafrasplank/internal/gateway"
+	"sassafrasplank.example/sassafrasplank/internal/routing"
+)
+
+var (
+	broken      = &gateway.BrokenError{Sent: true, Lost: true, Err: errors.New("reset")}
+	unreachable = &gateway.BrokenError{Err: errors.New("connection refused")}
+	notRun      = &gateway.NotRunError{Status: http.StatusServiceUnavailable}
+)
+
+// Whether a request may go to a second target, and what its caller is told.
+func TestFurtherAttempts(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind     routing.Kind
+		attempts int
+		first    step
+		calls    int
+		status   int
+		notRun   bool
+	}{
+		"booking, connection breaks":         {routing.Once, 1, fails(broken), 1, http.StatusBadGateway, false},
+		"booking, body breaks":               {routing.Once, 1, stream(0, 0, broken), 1, http.StatusBadGateway, false},
+		"booking, target says not run":       {routing.Once, 1, fails(notRun), 2, http.StatusOK, false},
+		"booking, target can't be reached":   {routing.Once, 1, fails(unreachable), 2, http.StatusOK, false},
+		"booking, target fails":              {routing.Once, 1, answer(500, "no"), 1, 500, false},
+		"booking, more attempts on paper":    {routing.Once, 3, fails(broken), 1, http.StatusBadGateway, false},
+		"look-up, connection breaks":         {routing.Idempotent, 2, fails(broken), 2, http.StatusOK, false},
+		"look-up, target fails":              {routing.Idempotent, 2, answer(500, "no"), 2, http.StatusOK, false},
+		"look-up, one attempt only":          {routing.Idempotent, 1, fails(broken), 1, http.StatusBadGateway, false},
+		"look-up, one attempt, target fails": {routing.Idempotent, 1, answer(500, "no"), 1, 500, false},
+		"look-up, caller's own mistake":      {routing.Idempotent, 2, answer(400, "no"), 1, 400, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, test.first, answer(http.StatusOK, "yes"))
+			s := w.serve(request(test.kind, test.attempts))
+			got := s.status
+			if s.refused != nil {
+				got = s.refused.Status
+				if s.refused.NotRun != test.notRun {
+					t.Errorf("not run: got %t", s.refused.NotRun)
+				}
+			}
+			if diff := cmp.Diff([]int{test.calls, test.status}, []int{len(w.targets.calls), got}); diff != "" {
+				t.Errorf("calls and status (-want +got):\n%s", diff)
+			}
+			if n := len(w.targets.calls); n > 1 && distinct(w.targets.targets()) != n {
+				t.Errorf("a target was tried twice: %v", w.targets.targets())
+			}
+		})
+	}
+}
+
+// A refusal that says "not run" is true: once any attempt may have run, the
+// caller hears that instead.
+func TestRefusalsAreTrue(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind   routing.Kind
+		script []step
+		notRun bool
+	}{
+		"all targets refuse":              {routing.Once, []step{fails(notRun)}, true},
+		"no target can be reached":        {routing.Once, []step{fails(unreachable)}, true},
+		"one breaks, the others refuse":   {routing.Idempotent, []step{fails(broken), fails(notRun)}, false},
+		"one breaks, others out of reach": {routing.Idempotent, []step{fails(broken), fails(unreachable)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newWorld(t, test.script...).serve(request(test.kind, 3))
+			if s.refused == nil {
+				t.Fatal("not refused")
+			}
+			promises := s.refused.Status == http.StatusServiceUnavailable || s.refused.Status == http.StatusTooManyRequests
+			if s.refused.NotRun != test.notRun || promises != test.notRun {
+				t.Errorf("got status %d, notRun %t, want notRun %t", s.refused.Status, s.refused.NotRun, test.notRun)
+			}
+			if test.notRun && s.refused.RetryAfter <= 0 {
+				t.Error("the caller isn't told when to come back")
+			}
+		})
+	}
+}
+
+func TestStreamGoesOnElsewhereBehindItsLastEvent(t *testing.T) {
+	w := newWorld(t, stream(1, 3, broken), func(_ context.Context, call *gateway.Call) (gateway.Reply, error) {
+		return &fakeReply{status: http.StatusOK, events: numbered(call.After+1, 6), last: io.EOF}, nil
+	})
+	item := request(routing.Stream, 2)
+	item.Route.Resumable = true
+	s := w.serve(item)
+	if s.body != "123456" || s.begun != 1 || s.aborted {
+		t.Errorf("got %q, begun %d times, aborted %t", s.body, s.begun, s.aborted)
+	}
+	if distinct(w.targets.targets()) != 2 || w.targets.calls[1].After != 3 {
+		t.Errorf("second call behind event %d at %v", w.targets.calls[1].After, w.targets.targets())
+	}
+	if len(w.ledger.list) != 1 {
+		t.Errorf("%d rows in the ledger, want 1", len(w.ledger.list))
+	}
+}
+
+func TestEventsAreNeverToldTwice(t *testing.T) {
+	w := newWorld(t, stream(1, 3, broken), stream(2, 5, io.EOF))
+	item := request(routing.Stream, 2)
+	item.Route.Resumable = true
+	if s := w.serve(item); s.body != "12345" {
+		t.Errorf("got %q", s.body)
+	}
+}
+
+func TestStreamThatMayNotGoOnIsBrokenOff(t *testing.T) {
+	w := newWorld(t, stream(1, 3, eventstream.ErrCut), stream(4, 6, io.EOF))
+	s := w.serve(request(routing.Stream, 2))
+	if len(w.targets.calls) != 1 || !s.aborted || s.body != "123" {
+		t.Errorf("%d calls, aborted %t, got %q", len(w.targets.calls), s.aborted, s.body)
+	}
+}
+
+func TestSilentTargetIsLeftWhereWorkMayRunAgain(t *testing.T) {
+	w := newWorld(t, silent(1, 2), stream(3, 4, io.EOF))
+	item := request(routing.Stream, 2)
+	item.Route.Resumable = true
+	item.Route.GapGoal = 20 * time.Millisecond
+	if s := w.serve(item); s.body != "1234" {
+		t.Errorf("got %q after %d calls", s.body, len(w.targets.calls))
+	}
+}
+
+func TestDeadline(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind   routing.Kind
+		script step
+		status int
+	}{
+		"a target had it":  {routing.Once, silent(0, -1), http.StatusGatewayTimeout},
+		"no target had it": {routing.Once, fails(unreachable), http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			item := request(test.kind, 1)
+			item.Deadline = time.Now().Add(80 * time.Millisecond)
+			s := newWorld(t, test.script).serve(item)
+			if s.refused == nil || s.refused.Status != test.status {
+				t.Errorf("got %+v, want status %d", s.refused, test.status)
+			}
+		})
+	}
+}
+
+// A caller that leaves ends the attempt.
+func TestLeavingCallerEndsTheAttempt(t *testing.T) {
+	ended := make(chan struct{})
+	w := newWorld(t, func(ctx context.Context, _ *gateway.Call) (gateway.Reply, error) {
+		<-ctx.Done()
+		close(ended)
+		return nil, &gateway.BrokenError{Sent: true, Err: ctx.Err()}
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	go leave()
+	w.Serve(ctx, request(routing.Once, 1), &fakeSink{})
+	select {
+	case <-ended:
+	default:
+		t.Error("the attempt goes on")
+	}
+}
+
+// A request under which targets died three times runs no more, on any host that
+// has heard of it.
+func TestRequestThatCrashesTargetsIsRefused(t *testing.T) {
+	w := newWorld(t, fails(broken))
+	for range 3 {
+		w.serve(request(routing.Once, 1))
+	}
+	s := w.serve(request(routing.Once, 1))
+	if len(w.targets.calls) != 3 || s.refused == nil || !s.refused.NotRun {
+		t.Errorf("%d calls, then %+v", len(w.targets.calls), s.refused)
+	}
+	other := newWorld(t, fails(broken))
+	other.MergeSuspects(w.PeerReport().Suspects)
+	other.serve(request(routing.Once, 1))
+	if len(other.targets.calls) != 0 {
+		t.Error("a host that heard of it sends it on")
+	}
+}
+
+// All further attempts together stay within the share of the requests.
+func TestBudgetBoundsFurtherAttempts(t *testing.T) {
+	w := newWorld(t, fails(notRun))
+	const requests = 200
+	for range requests {
+		w.serve(request(routing.Once, 1))
+	}
+	budget := float64(requests)*w.Config.Retries.BudgetPercent/100 + w.Config.Retries.Reserve
+	if further := float64(len(w.targets.calls) - requests); further > budget || further == 0 {
+		t.Errorf("%g further attempts, want at most %g and some", further, budget)
+	}
+}
--- /dev/null
+++ b/internal/routing/config_test.go
@@ -0,0 +1,79 @@
+package routing_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sassafrasplank.example/sassafrasplank/internal/routing"
+)
+
+func config() *routing.Config {
+	c := &routing.Config{
+		Version: 3,
+		Routes: []routing.Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Kind: routing.Idempotent},
+			{Name: "orders", Host: "a.example", Prefix: "/orders/", Kind: routing.Once, Attempts: 1},
+			{Name: "old", Host: "a.example", Prefix: "/orders/old/", Kind: routing.Stream, Resumable: true},
+			{Name: "report", Host: "b.example", Prefix: "/r/", Kind: routing.Stream},
+		},
+		Accounts: []routing.Account{{Name: "souk", Keys: []string{"k1", "k2"}}, {Name: "maker", Keys: []string{"k3"}}},
+	}
+	c.Index()
+	return c
+}
+
+func TestMatch(t *testing.T) {
+	c := config()
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/orders/7", "orders"},
+		{"A.EXAMPLE", "/orders/old/7", "old"},
+		{"a.example", "/ordersold", "all"},
+		{"b.example", "/r/x", "report"},
+		{"b.example", "/r", ""},
+		{"c.example", "/r/x", ""},
+	} {
+		got := ""
+		if r := c.Match(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s: got route %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+func TestAccount(t *testing.T) {
+	c := config()
+	for key, want := range map[string]string{"k1": "souk", "k2": "souk", "k3": "maker", "": "", "k4": ""} {
+		got := ""
+		if a := c.Account(key); a != nil {
+			got = a.Name
+		}
+		if got != want {
+			t.Errorf("key %q: got account %q, want %q", key, got, want)
+		}
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	var got []bool
+	for _, r := range config().Routes {
+		got = append(got, r.Repeatable())
+	}
+	if diff := cmp.Diff([]bool{true, false, true, false}, got); diff != "" {
+		t.Errorf("repeatable (-want +got):\n%s", diff)
+	}
+}
+
+func TestServiceFollowsShares(t *testing.T) {
+	r := routing.Route{Shares: []routing.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	for at, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999: "b"} {
+		if got := r.Service(at); got != want {
+			t.Errorf("at %g: got %q, want %q", at, got, want)
+		}
+	}
+	if got := (&routing.Route{}).Service(0.5); got != "" {
+		t.Errorf("without shares: got %q", got)
+	}
+}
