Place by memory and by the prefill rate under load, free parts of replaced weights

Cause: at the crest the running prompts fill the engines' memory and new ones wait there for most of a second; estimates took the idle prefill rate, and loads of peers were up to 250 ms old. Parts of replaced weights filled the stores. Change: a part of the memory for each priority, beyond which work waits a moment and is refused; estimates at the rate under load; reports each 100 ms; the host with the lease frees what no target can use.

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -33,6 +33,11 @@
 
 	// PrefillTokensPerSecond is the usual rate at which an engine reads prompts.
 	PrefillTokensPerSecond float64 `json:"prefillTokensPerSecond"`
+	// MemoryShare is the part of an engine's memory that the most urgent requests
+	// may fill, and MemoryStep by how much less each lower priority may. Beyond
+	// it they are refused, so that those that run don't slow each other down.
+	MemoryShare float64 `json:"memoryShare"`
+	MemoryStep  float64 `json:"memoryStep"`
 	// TokenGap is the shortest usual time between two tokens of a stream.
 	TokenGap Duration `json:"tokenGap"`
 	// PlainRate is the number of requests a second that one slot of a plain
@@ -136,7 +141,7 @@
 		Readiness: Listener{Listen: "127.0.0.1:8081"},
 		Metrics:   Listener{Listen: "127.0.0.1:8082"},
 		Peers: RoutedPeers{
-			Listen: "127.0.0.1:8083", Interval: Of(200 * time.Millisecond), FanOut: 3,
+			Listen: "127.0.0.1:8083", Interval: Of(100 * time.Millisecond), FanOut: 3,
 			SuspectAfter: Of(5 * time.Second), ForgetAfter: Of(time.Minute), LoadsFor: Of(1500 * time.Millisecond),
 		},
 		Table: Table{
@@ -163,9 +168,11 @@
 		Ledger:  Ledger{FlushEvery: Of(3 * time.Second), BatchRows: 512, WritesPerSecond: 20, BufferRows: 20_000},
 		Rollout: Rollout{Lease: Of(2 * time.Second), Quiet: Of(3 * time.Second), QuietMargin: Of(800 * time.Millisecond), AtOnce: 0.16, Loads: 2, Drain: Of(300 * time.Millisecond), Settle: Of(150 * time.Millisecond), Keep: true, Repeat: Of(6 * time.Second), Within: Of(12 * time.Second), Margin: Of(1500 * time.Millisecond)},
 
-		PrefillTokensPerSecond: 90_000,
+		PrefillTokensPerSecond: 60_000,
 		TokenGap:               Of(4 * time.Millisecond),
 		PlainRate:              60,
+		MemoryShare:            0.95,
+		MemoryStep:             0.04,
 		StopDelay:              Of(3 * time.Second),
 		StopWithin:             Of(7 * time.Second),
 	}
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -61,6 +61,7 @@
 	Targets                    gateway.TargetCaller
 	Orders                     rollout.Orderer
 	Caches                     gateway.CacheEventCaller
+	Freer                      gateway.PartFreer
 	// Callers returns the handler of callers' requests.
 	Callers func(g *gateway.Gateway, stopping func() bool) http.Handler
 
@@ -127,7 +128,7 @@
 	}
 	h.gateway = &gateway.Gateway{
 		Host: cfg.Host, FailureDomain: cfg.FailureDomain, Config: cfg, Clock: h.Clock, Steady: h.Steady, Targets: h.Targets,
-		Fleet: h.fleet, Ledger: h.writer, Log: h.Log, Metrics: h.metrics,
+		Fleet: h.fleet, Ledger: h.writer, Freer: h.Freer, Log: h.Log, Metrics: h.metrics,
 	}
 	h.gateway.Init()
 	h.buildGroup(incarnation)
@@ -137,7 +138,7 @@
 			AtOnce: cfg.Rollout.AtOnce, Loads: cfg.Rollout.Loads, Drain: cfg.Rollout.Drain.Duration, Within: cfg.Rollout.Within.Duration,
 			Settle: cfg.Rollout.Settle.Duration, Keep: cfg.Rollout.Keep, Repeat: cfg.Rollout.Repeat.Duration,
 		},
-		Rank: rank(cfg.Host), Swapping: h.gateway.SetSwapping,
+		Rank: rank(cfg.Host), Swapping: h.gateway.SetSwapping, Cleaner: h.gateway,
 		Lease: lease.State{Host: cfg.Host, Incarnation: incarnation, Lasts: cfg.Rollout.Lease.Duration, Quiet: cfg.Rollout.Quiet.Duration + cfg.Rollout.QuietMargin.Duration},
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,7 @@
 	if len(w.Parts) > 0 {
 		req.FailureDomain = ""
 		req.AnswerTokens = w.AnswerTokens
+		req.MemoryShare = max(leastMemory, g.Config.MemoryShare-g.Config.MemoryStep*float64(w.Priority))
 		req.Long = w.AnswerTokens > g.Config.Placement.LongTokens
 		req.ChainTokens = make([]int, 0, len(w.Parts))
 		tokens := 0
@@ -63,6 +64,10 @@
 	return req
 }
 
+// leastMemory is the part of a target's memory that requests of any priority may
+// take.
+const leastMemory = 0.5
+
 // affinity hashes the longest part that the prompt may share with others. The
 // last part belongs to the request or its session.
 func affinity(w *work.Work) uint64 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	Targets TargetCaller
 	Fleet   *fleet.View
 	Ledger  LedgerWriter
+	Freer   PartFreer
 	Log     *log.Logger
 	Metrics metrics.Registry
 
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -54,6 +54,8 @@
 		Int("attempts", r.tries).
 		Int("status", status).
 		Int("events", r.events).
+		Dur("first", r.first).
+		Dur("longestGap", r.gap).
 		Dur("took", r.g.Clock.Now().Sub(r.work.Received)).
 		Msg("request: done")
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -34,7 +34,10 @@
 	begun  bool
 	after  int64
 	events int
-	last   error
+	// first is the time to the first event, gap the longest pause between two.
+	first, gap time.Duration
+	lastEvent  time.Time
+	last       error
 }
 
 // Serve carries one request to its end.
@@ -346,7 +349,7 @@
 			}
 		}
 		r.g.tokens(at)
-		r.events++
+		r.paced()
 		if event.ID != eventstream.NoID {
 			r.after = event.ID
 		}
@@ -357,9 +360,21 @@
 	}
 }
 
+// paced counts an event and the pause before it.
+func (r *run) paced() {
+	now := r.g.Clock.Now()
+	if r.events == 0 {
+		r.first = now.Sub(r.work.Received)
+		r.g.measure("requests.firstEventMicros", r.first)
+	} else {
+		r.gap = max(r.gap, now.Sub(r.lastEvent))
+	}
+	r.events++
+	r.lastEvent = now
+}
+
 func (r *run) begin(reply Reply) error {
 	r.begun = true
-	r.g.measure("requests.firstEventMicros", r.g.Clock.Now().Sub(r.work.Received))
 	if err := r.sink.Begin(reply.Head()); err != nil {
 		r.logEnd("callerGone", nil)
 		return err
--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -43,6 +43,8 @@
 	spec  routing.CacheStore
 	epoch int64
 	parts map[prefix.Key]storedPart
+	// walls counts the parts behind each wall.
+	walls map[string]int
 	// used are the tokens of its parts.
 	used int
 	// clock is the clock of the targets in milliseconds when the store last
@@ -91,7 +93,7 @@
 				continue
 			}
 			ctx, cancel := context.WithCancel(ctx)
-			s := &cacheStore{spec: *service.Store, parts: map[prefix.Key]storedPart{}, pending: map[prefix.Key]time.Time{}, end: cancel}
+			s := &cacheStore{spec: *service.Store, parts: map[prefix.Key]storedPart{}, walls: map[string]int{}, pending: map[prefix.Key]time.Time{}, end: cancel}
 			g.stores[name] = s
 			watchers.Go(func() { g.watchStore(ctx, caller, name, s) })
 		}
@@ -145,6 +147,7 @@
 		s.epoch = events.Epoch
 		s.used = 0
 		clear(s.parts)
+		clear(s.walls)
 		clear(s.pending)
 		s.savesFrom = now.Add(saveAfter)
 	}
@@ -159,12 +162,16 @@
 	if held, ok := s.parts[key]; ok {
 		s.used -= roundUp(held.tokens)
 		delete(s.parts, key)
+		if s.walls[held.wall]--; s.walls[held.wall] == 0 {
+			delete(s.walls, held.wall)
+		}
 	}
 	if event.Removed {
 		return
 	}
 	delete(s.pending, key)
 	s.parts[key] = storedPart{wall: event.Wall, part: event.Part, tokens: event.Tokens}
+	s.walls[event.Wall]++
 	s.used += roundUp(event.Tokens)
 }
 
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -15,8 +15,10 @@
 	// this host has known of it.
 	named int64
 	since time.Time
-	// held are the versions that targets hold, the newest first.
-	held []int64
+	// held are the versions that targets hold, the newest first, and oldestSince
+	// is when the oldest of them changed.
+	held        []int64
+	oldestSince time.Time
 }
 
 // versionName is the name of a model's weights on the board.
@@ -31,7 +33,7 @@
 // must be expected from targets with newer weights for these to be preferred to
 // faster targets with older ones. An answer on older weights is worth less to
 // its caller, but a late one is worth less still.
-const newVersionShare = 0.4
+const newVersionShare = 0.3
 
 // SetVersion notes the version of a model that operators ask for. Versions only
 // grow; it reports whether this one is new.
@@ -101,8 +103,12 @@
 	}
 	for model, versions := range held {
 		w := g.model(model)
-		w.held = slices.Sorted(maps.Keys(versions))
-		slices.Reverse(w.held)
+		oldest := slices.Sorted(maps.Keys(versions))
+		if len(w.held) == 0 || w.held[len(w.held)-1] != oldest[0] {
+			w.oldestSince = now
+		}
+		slices.Reverse(oldest)
+		w.held = oldest
 	}
 }
 
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -34,6 +34,9 @@
 	Affinity uint64
 	// FailureDomain is preferred where the difference is small; empty for none.
 	FailureDomain string
+	// MemoryShare is the part of a target's memory that may be taken with the
+	// request; 0 stands for no limit.
+	MemoryShare float64
 	// Exclude names the targets that were tried already.
 	Exclude []string
 }
@@ -58,6 +61,7 @@
 	ReasonProbe      Reason = "probe"
 	ReasonNoTarget   Reason = "noTarget"
 	ReasonNoLongSlot Reason = "noLongSlot"
+	ReasonNoMemory   Reason = "noMemory"
 )
 
 // Estimate holds the parts of the expected time to the first token on one
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -161,15 +161,28 @@
 	memoryShare = 0.9
 )
 
-// memoryWait estimates the time in seconds until a request of some tokens finds
-// room. Requests of peers are taken to be as large as the own ones.
-func (e *engine) memoryWait(tokens int) float64 {
-	if e.spec.MemoryTokens == 0 || e.inFlight == 0 {
+// heldTokensOfAll returns the tokens of all requests at the engine. Those of
+// peers are taken to be as large as the own ones.
+func (e *engine) heldTokensOfAll() float64 {
+	if e.inFlight == 0 {
 		return 0
 	}
-	held := e.heldTokens / float64(e.inFlight) * float64(e.load())
-	over := held + float64(tokens) - memoryShare*float64(e.spec.MemoryTokens)
-	if over <= 0 {
+	return e.heldTokens / float64(e.inFlight) * float64(e.load())
+}
+
+// memoryTaken returns the part of the memory that is taken with a request.
+func (e *engine) memoryTaken(req *Request) float64 {
+	if e.spec.MemoryTokens == 0 {
+		return 0
+	}
+	return (e.heldTokensOfAll() + float64(req.PromptTokens)) / float64(e.spec.MemoryTokens)
+}
+
+// memoryWait estimates the time in seconds until a request finds room.
+func (e *engine) memoryWait(req *Request) float64 {
+	held := e.heldTokensOfAll()
+	over := (e.memoryTaken(req) - memoryShare) * float64(e.spec.MemoryTokens)
+	if over <= 0 || held == 0 {
 		return 0
 	}
 	return over / held * e.jobTime.Seconds()
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -48,7 +48,7 @@
 	b.refreshMedian(now, p)
 	b.gather(p, req)
 	storePieces, storeLink := b.storedPrefix(req)
-	longFull := false
+	longFull, memoryFull := false, false
 	for _, number := range b.picked {
 		e := b.engines[number]
 		if !b.eligible(now, e, req) {
@@ -58,12 +58,19 @@
 			longFull = true
 			continue
 		}
+		if req.MemoryShare > 0 && e.memoryTaken(req) > req.MemoryShare {
+			memoryFull = true
+			continue
+		}
 		d.Considered = append(d.Considered, b.estimate(now, p, e, req, storePieces, storeLink))
 	}
 	if len(d.Considered) == 0 {
 		if longFull {
 			d.Reason = ReasonNoLongSlot
 		}
+		if memoryFull {
+			d.Reason = ReasonNoMemory
+		}
 		return
 	}
 	b.choose(now, req, d)
@@ -161,7 +168,7 @@
 	reused := req.prefixTokens(b.depths[e.number], b.params.PieceTokens)
 	est := Estimate{
 		Target:       e.spec.Name,
-		Wait:         e.expectedWait(slow) + e.memoryWait(req.PromptTokens),
+		Wait:         e.expectedWait(slow) + e.memoryWait(req),
 		Slowness:     slow,
 		Source:       SourceNone,
 		ReusedTokens: reused,
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -45,6 +45,14 @@
 	OrderWeights(ctx context.Context, order Order, holder string, fence int64) error
 }
 
+// Cleaner frees what weights that were replaced have left behind.
+type Cleaner interface {
+	// Obsolete reports whether there is anything to free.
+	Obsolete() bool
+	// Clean frees some of it; the lease holds for within.
+	Clean(ctx context.Context, within time.Duration)
+}
+
 // TargetState is what a target says of itself.
 type TargetState struct {
 	// Orders is the number of orders it has accepted since its start.
@@ -71,7 +79,9 @@
 	// Swapping is told which targets are out of use, and which get short work
 	// only.
 	Swapping func(closed, draining []string)
-	Lease    lease.State
+	// Cleaner may be nil.
+	Cleaner Cleaner
+	Lease   lease.State
 
 	mu    sync.Mutex
 	named map[string]Named
@@ -146,10 +156,11 @@
 }
 
 func (l *Leader) look(ctx context.Context) {
+	obsolete := l.Cleaner != nil && l.Cleaner.Obsolete()
 	l.mu.Lock()
 	targets := l.Fleet.Targets()
 	named := l.namedList()
-	due := anyBehind(targets, named)
+	due := anyBehind(targets, named) || obsolete
 	now := l.Steady.Now()
 	if !due && l.Plan.Idle() {
 		l.wanted = time.Time{}
@@ -164,6 +175,11 @@
 		return
 	}
 	l.orders(ctx, targets)
+	if obsolete {
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		l.Cleaner.Clean(ctx, orderTimeout)
+	}
 }
 
 func (l *Leader) namedList() []Named {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -61,25 +61,28 @@
 
 const (
 	// firstTook is assumed before the first swap has ended.
-	firstTook = 3 * time.Second
+	firstTook = 2 * time.Second
 	// tookWeight is the weight of one swap in the usual time.
 	tookWeight = 0.3
-	// spareShare is the part of Within that is kept for swaps that take longer.
-	spareShare = 0.2
+	// mostHaste bounds how many times more targets than AtOnce swap at once when
+	// time is short. Loads that share the way to the weights take longer, so that
+	// more at once end no sooner.
+	mostHaste = 2
 )
 
-// needed returns how many targets have to swap at once so that all of them are
-// done in time.
-func (p *Plan) needed(elapsed time.Duration, left int) int {
+// atOnce returns how many of the holders of a model swap at the same time.
+func (p *Plan) atOnce(elapsed time.Duration, holders, left int) int {
+	usual := max(1, int(math.Ceil(p.AtOnce*float64(holders))))
 	took := p.took
 	if took == 0 {
 		took = firstTook
 	}
-	rest := time.Duration(float64(p.Within)*(1-spareShare)) - elapsed
+	rest := p.Within - elapsed
 	if rest <= took {
-		return left
+		return mostHaste * usual
 	}
-	return int(math.Ceil(float64(left) * took.Seconds() / rest.Seconds()))
+	needed := int(math.Ceil(float64(left) * took.Seconds() / rest.Seconds()))
+	return min(max(usual, needed), mostHaste*usual)
 }
 
 // Order is one order that is due.
@@ -195,7 +198,7 @@
 		}
 		waiting = append(waiting, t)
 	}
-	atOnce := max(1, int(math.Ceil(p.AtOnce*float64(holders))), p.needed(now.Sub(n.Since), len(waiting)+swapping))
+	atOnce := p.atOnce(now.Sub(n.Since), holders, len(waiting)+swapping)
 	p.loads = max(p.Loads, atOnce)
 	room := atOnce - swapping
 	if room <= 0 || len(waiting) == 0 {
