Answer 503 before the records are known and refuse nothing by an unknown rate

Cause: dev printed ready and served before it held its records, so the first key was called wrong. In pool.txtar, after the home was killed, a host that began to admit took the admissions of the first milliseconds for the rate of a whole window of 2 s, so its queue seemed to take longer than half of each request's time, the more so on a busy machine. Ruled out: the capacity that the host keeps for itself, which is unchanged. Tests that failed before: TestBeforeTheRecordsAreKnown (401 instead of 503), TestNothingIsRefusedByTheRateOfTheFirstMoments (refused from request 10 on).

--- a/commands/dev.go
+++ b/commands/dev.go
@@ -50,8 +50,10 @@
 		Config: cfg,
 		Clock:  clock.System{},
 		Log:    newLogger(cfg.LogLevel, cmd.Root().ErrWriter),
-		Serving: func(callers, operators net.Addr) {
+		Serving: func(_, operators net.Addr) {
 			_, _ = fmt.Fprintf(cmd.Root().ErrWriter, "operators http://%s\n", operators)
+		},
+		Ready: func(callers net.Addr) {
 			_, _ = fmt.Fprintf(cmd.Root().Writer, "ready http://%s\n", callers)
 		},
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -49,6 +49,29 @@
 	})
 }
 
+// A host that begins to admit, as it does when the home of its pool is lost,
+// doesn't take the first moments for the rate at which it will go on.
+func TestNothingIsRefusedByTheRateOfTheFirstMoments(t *testing.T) {
+	q := admission.NewQueue(admission.Params{QueuePerAccount: 256, LongPercent: 100})
+	q.SetCapacity(2)
+	now := begin
+	offer := func() *admission.Refusal {
+		return q.Offer(now, &admission.Job{Account: "a", Work: 1, Deadline: now.Add(20 * time.Second)})
+	}
+	for range 2 {
+		if refusal := offer(); refusal != nil {
+			t.Fatal(refusal)
+		}
+		q.Next(now)
+	}
+	for i := range 60 {
+		now = now.Add(5 * time.Millisecond)
+		if refusal := offer(); refusal != nil {
+			t.Fatalf("request %d is refused: %v", i, refusal)
+		}
+	}
+}
+
 // The queue is bounded, keeps its capacity and loses no job.
 func TestQueueKeepsItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -95,6 +95,8 @@
 	start    time.Time
 	count    int
 	previous float64
+	// whole is set once a whole window was counted.
+	whole bool
 }
 
 func (d *drainRate) note(now time.Time) {
@@ -102,8 +104,13 @@
 	d.count++
 }
 
+// perSecond returns 0 until a whole window was counted: the beginning of one
+// says nothing of the rate, and what isn't known is no reason to refuse.
 func (d *drainRate) perSecond(now time.Time) float64 {
 	d.roll(now)
+	if !d.whole {
+		return 0
+	}
 	elapsed := now.Sub(d.start).Seconds()
 	part := elapsed / drainWindow.Seconds()
 	return d.previous*(1-part) + float64(d.count)/drainWindow.Seconds()
@@ -117,6 +124,7 @@
 	case windows == 1:
 		d.previous = float64(d.count) / drainWindow.Seconds()
 		d.count = 0
+		d.whole = true
 		d.start = d.start.Add(drainWindow)
 	}
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -82,7 +83,11 @@
 		if !ok {
 			return failure.NotRun(http.StatusUnauthorized, failure.WrongKey, "want the header Authorization: Bearer KEY")
 		}
-		account, ok := s.Records.Current().AccountOf(key, s.Clock.Now())
+		records := s.Records.Current()
+		if records.Revision == 0 {
+			return failure.Busy(failure.Stopping, time.Second, "this host knows no records yet")
+		}
+		account, ok := records.AccountOf(key, s.Clock.Now())
 		if !ok {
 			return failure.NotRun(http.StatusUnauthorized, failure.WrongKey, "the key belongs to no client account")
 		}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -45,6 +45,8 @@
 	Log    *log.Logger
 	// Serving is called once with the address for callers, may be nil.
 	Serving func(callers, operators net.Addr)
+	// Ready is called once when requests can be served, may be nil.
+	Ready func(callers net.Addr)
 
 	platform   *platform.Client
 	group      *peer.Group
@@ -79,6 +81,9 @@
 	if h.Serving != nil {
 		h.Serving(listeners[0].socket.Addr(), listeners[1].socket.Addr())
 	}
+	if h.Ready != nil {
+		group.Go(func() error { return h.announce(duties, listeners[0].socket.Addr()) })
+	}
 	h.Log.Info().Str("part", "entry").Str("host", h.Config.Host).Msg("entry: serving callers on " + listeners[0].socket.Addr().String())
 	<-ctx.Done()
 	h.stop(hasten, listeners)
@@ -86,6 +91,20 @@
 	return group.Wait()
 }
 
+// readyEvery is the time between two looks at whether a host is ready.
+const readyEvery = 20 * time.Millisecond
+
+// announce calls Ready as soon as the host has its records and its targets.
+func (h *Host) announce(ctx context.Context, callers net.Addr) error {
+	for !h.ready() {
+		if clock.Sleep(ctx, h.Clock, readyEvery) != nil {
+			return nil
+		}
+	}
+	h.Ready(callers)
+	return nil
+}
+
 // stop ends the host step by step: unready, no new requests, running requests
 // end, what was counted is written, peers are told.
 func (h *Host) stop(hasten context.Context, listeners []*listener) {
--- a/internal/entry/host_test.go
+++ b/internal/entry/host_test.go
@@ -332,3 +332,38 @@
 	}
 	return string(data)
 }
+
+// A host that has no records yet says so, and doesn't call a key wrong.
+func TestBeforeTheRecordsAreKnown(t *testing.T) {
+	cfg := config.Default()
+	cfg.Host, cfg.FailureDomain = "one", "west"
+	cfg.Callers.Listen, cfg.Operators.Listen, cfg.Peers.Listen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Platform.TableURL, cfg.Platform.ObjectURL, cfg.Platform.HostListURL = "http://127.0.0.1:1", "http://127.0.0.1:1", "http://127.0.0.1:1"
+	cfg.StopDelay = config.Of(0)
+	serving := make(chan net.Addr, 1)
+	host := &entry.Host{
+		Config: cfg, Clock: clock.System{}, Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Serving: func(callers, _ net.Addr) { serving <- callers },
+		Ready:   func(net.Addr) { t.Error("the host says that it is ready") },
+	}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- host.Run(ctx, context.Background()) }()
+	request, err := http.NewRequest(http.MethodPost, "http://"+(<-serving).String()+"/v1/chat/completions", strings.NewReader("{}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer dev-orders")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, want 503", response.StatusCode)
+	}
+	end()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
