--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// Known reports whether the list was read at least once.
+// Known reports whether any target was ever listed. An empty list is no sign
+// that requests can be served.
 func (v *View) Known() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -126,7 +127,6 @@
 		v.Put(t)
 	}
 	v.mu.Lock()
-	v.known = true
 	ids := slices.Sorted(maps.Keys(v.targets))
 	v.mu.Unlock()
 	for _, id := range ids {
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -76,3 +76,16 @@
 		t.Errorf("changes (-want +got):\n%s", diff)
 	}
 }
+
+func TestAnEmptyListIsNotKnown(t *testing.T) {
+	v := fleet.NewView()
+	v.Replace(time.Unix(100, 0), nil)
+	if v.Known() {
+		t.Error("known without a target")
+	}
+	v.Put(fleet.Target{ID: "a"})
+	v.Drop(time.Unix(100, 0), "a")
+	if !v.Known() {
+		t.Error("a host forgets that it has known targets")
+	}
+}
--- /dev/null
+++ b/internal/gateway/stores_test.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"pgregory.net/rapid"
+
+	"sassafrasplank.example/sassafrasplank/internal/config"
+	"sassafrasplank.example/sassafrasplank/internal/eventstream"
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
+	"sassafrasplank.example/sassafrasplank/internal/routing"
+	"sassafrasplank.example/sassafrasplank/internal/work"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// handClock is moved by hand.
+type handClock struct{ now time.Time }
+
+func (c *handClock) Now() time.Time { return c.now }
+
+func (c *handClock) After(time.Duration) <-chan time.Time { return nil }
+
+const storeAddress = "10.9.9.9:1"
+
+func newStoreWorld(t interface{ Helper() }) (*Gateway, *cacheStore, *handClock) {
+	t.Helper()
+	c := &handClock{now: time.Unix(1000, 0)}
+	view := fleet.NewView()
+	view.Put(fleet.Target{ID: "e1", Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 1}})
+	cfg := config.DefaultRouted()
+	g := &Gateway{
+		Host: "h", FailureDomain: "north", Config: cfg, Clock: c, Steady: c, Fleet: view, Metrics: metrics.NewRegistry(),
+		Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+	}
+	g.Init()
+	g.SetRoutes(&routing.Config{Version: 1, Services: map[string]routing.Service{
+		"loom": {Name: "loom", Engine: &routing.Engine{Slots: 16, BytesPerToken: 18_000, LinkBytesPerSecond: 2e10}},
+	}})
+	s := &cacheStore{
+		spec:  routing.CacheStore{Address: storeAddress, Tokens: 5000, LinkBytesPerSecond: 2e10, FailureDomain: "north"},
+		parts: map[prefix.Key]storedPart{}, walls: map[string]int{}, pending: map[prefix.Key]time.Time{}, end: func() {},
+	}
+	g.stores["s"] = s
+	return g, s, c
+}
+
+func storeWork(id string) *work.Work {
+	return &work.Work{
+		ID: id, Service: "loom", Model: "m", After: eventstream.NoID, PromptTokens: 1100, AnswerTokens: 10,
+		Route: &routing.Route{Kind: routing.Stream, Goal: time.Second, Timeout: time.Second},
+		Parts: []work.Part{{Key: "p1", Tokens: 1000}, {Key: id, Tokens: 100}},
+	}
+}
+
+func (g *Gateway) placed(w *work.Work) *attempt {
+	req := g.placementRequest(w)
+	return g.choose(&req, w)
+}
+
+func told(epoch, clock int64, events ...CacheEvent) CacheEvents {
+	return CacheEvents{Epoch: epoch, Clock: clock, Events: events}
+}
+
+func whole(wall string) CacheEvent { return CacheEvent{Wall: wall, Part: "p1", Tokens: 1000} }
+
+const sharedWall = "shared/m@1"
+
+func TestPartIsSavedOnceAndThenFetched(t *testing.T) {
+	g, s, c := newStoreWorld(t)
+	g.applyStore("s", s, told(7, 5000))
+	if at := g.placed(storeWork("w0")); at.save != nil {
+		t.Errorf("saved to %v right after the store was first heard of", at.save)
+	}
+	c.now = c.now.Add(saveAfter)
+	g.applyStore("s", s, told(7, 8000))
+	first, second := g.placed(storeWork("w1")), g.placed(storeWork("w2"))
+	if diff := cmp.Diff([]string{storeAddress, ""}, first.save); diff != "" {
+		t.Errorf("saved (-want +got):\n%s", diff)
+	}
+	if second.save != nil {
+		t.Errorf("saved again: %v", second.save)
+	}
+	g.applyStore("s", s, told(7, 8100, whole(sharedWall)))
+	g.board.ForgetCache("e1")
+	third := g.placed(storeWork("w3"))
+	if diff := cmp.Diff([]string{storeAddress, ""}, third.fetch); diff != "" {
+		t.Errorf("fetched (-want +got):\n%s", diff)
+	}
+	if want := int64(8100) + readLease.Milliseconds(); third.until != want {
+		t.Errorf("fetch ends at %d, want %d", third.until, want)
+	}
+}
+
+func TestFullStoreGetsNothing(t *testing.T) {
+	g, s, c := newStoreWorld(t)
+	s.spec.Tokens = 900
+	g.applyStore("s", s, told(7, 5000))
+	c.now = c.now.Add(saveAfter)
+	g.applyStore("s", s, told(7, 8000))
+	if at := g.placed(storeWork("w1")); at.save != nil {
+		t.Errorf("saved to a full store: %v", at.save)
+	}
+}
+
+// Nothing is read from a store that has given no answer for a while, or whose
+// call has failed.
+func TestSilentStoreIsNotReadFrom(t *testing.T) {
+	g, s, c := newStoreWorld(t)
+	g.applyStore("s", s, told(7, 5000, whole(sharedWall)))
+	g.board.ForgetCache("e1")
+	c.now = c.now.Add(readLease)
+	if at := g.placed(storeWork("w1")); at.fetch != nil {
+		t.Errorf("fetched from a silent store: %v", at.fetch)
+	}
+	g.applyStore("s", s, told(7, 8000))
+	g.storeLost(s)
+	g.board.ForgetCache("e1")
+	if at := g.placed(storeWork("w2")); at.fetch != nil {
+		t.Errorf("fetched from a lost store: %v", at.fetch)
+	}
+}
+
+// Isolated accounts share no part with others, and versions none with each
+// other.
+func TestWalls(t *testing.T) {
+	walls := []string{
+		wall(&work.Work{Account: "a"}, "m@1"), wall(&work.Work{Account: "b"}, "m@1"),
+		wall(&work.Work{Account: "a", Isolated: true}, "m@1"), wall(&work.Work{Account: "b", Isolated: true}, "m@1"),
+		wall(&work.Work{Account: "a"}, "m@2"),
+	}
+	if walls[0] != walls[1] {
+		t.Errorf("accounts that aren't isolated share nothing: %q and %q", walls[0], walls[1])
+	}
+	distinct := slices.Clone(walls[1:])
+	slices.Sort(distinct)
+	if len(slices.Compact(distinct)) != 4 {
+		t.Errorf("walls aren't distinct: %q", walls)
+	}
+	for _, w := range walls {
+		if _, version, ok := wallVersion(w); !ok || version < 1 || version > 2 {
+			t.Errorf("wall %q has version %d", w, version)
+		}
+	}
+}
+
+type fakeFreer struct{ freed []PartName }
+
+func (f *fakeFreer) FreeParts(_ context.Context, _ string, _, _ int64, parts []PartName) error {
+	f.freed = append(f.freed, parts...)
+	return errors.New("lost")
+}
+
+// Parts are freed only once no target has held their weights for a while.
+func TestOnlyObsoletePartsAreFreed(t *testing.T) {
+	g, s, c := newStoreWorld(t)
+	freer := &fakeFreer{}
+	g.Freer = freer
+	g.applyStore("s", s, told(7, 5000, whole(sharedWall)))
+	g.SetVersion("m", 2)
+	steps := []struct {
+		change func()
+		want   bool
+	}{
+		{func() {}, false},
+		{func() {
+			g.Fleet.Put(fleet.Target{ID: "e1", Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 2}})
+			g.TargetsChanged()
+		}, false},
+		{func() { c.now = c.now.Add(obsoleteFor) }, true},
+		{func() {
+			g.Fleet.Put(fleet.Target{ID: "e2", Service: "loom", Address: "10.0.0.2:1", Slots: 16, Versions: map[string]int64{"m": 1}})
+			g.TargetsChanged()
+		}, false},
+	}
+	for i, step := range steps {
+		step.change()
+		g.applyStore("s", s, told(7, 9000))
+		if got := g.Obsolete(); got != step.want {
+			t.Errorf("step %d: obsolete %t, want %t", i, got, step.want)
+		}
+		freer.freed = nil
+		g.Clean(context.Background(), time.Second)
+		if got := len(freer.freed) > 0; got != step.want {
+			t.Errorf("step %d: freed %v", i, freer.freed)
+		}
+	}
+}
+
+// storeModel is a store that starts anew, is written to and read from by hosts
+// that hear of it late or not at all.
+type storeModel struct {
+	epoch int64
+	// begun is when the part was last begun to be written, whole when it is whole.
+	begun, whole time.Time
+}
+
+// No host reads a part while it is written again after a restart of its store,
+// whatever the hosts have heard of the restart.
+func TestStoreMachine(t *testing.T) {
+	steps := 0
+	rapid.Check(t, func(t *rapid.T) {
+		store := &storeModel{epoch: 1}
+		type host struct {
+			g *Gateway
+			s *cacheStore
+			c *handClock
+		}
+		var hosts []host
+		for range 3 {
+			g, s, c := newStoreWorld(silentHelper{})
+			hosts = append(hosts, host{g, s, c})
+		}
+		now := hosts[0].c.now
+		clockOf := func() int64 { return now.UnixMilli() }
+		for n := range rapid.IntRange(50, 300).Draw(t, "steps") {
+			steps++
+			h := hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
+			switch rapid.SampledFrom([]string{"time", "answer", "answer", "place", "place", "restart", "lost"}).Draw(t, "step") {
+			case "time":
+				now = now.Add(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond)
+				for _, each := range hosts {
+					each.c.now = now
+				}
+			case "answer":
+				events := told(store.epoch, clockOf())
+				if !store.whole.IsZero() && !now.Before(store.whole) {
+					events.Events = []CacheEvent{whole(sharedWall)}
+				}
+				h.g.applyStore("s", h.s, events)
+			case "lost":
+				h.g.storeLost(h.s)
+			case "restart":
+				store.epoch++
+				store.begun, store.whole = time.Time{}, time.Time{}
+			case "place":
+				h.g.board.ForgetCache("e1")
+				at := h.g.placed(storeWork(string(rune('a' + n%26))))
+				if at.fetch != nil && at.fetch[0] == storeAddress {
+					ends := time.UnixMilli(at.until)
+					if !store.begun.IsZero() && now.Before(store.whole) {
+						t.Fatalf("a part is read while it is written")
+					}
+					if ends.Sub(now) > readLease {
+						t.Fatalf("a read may last %s", ends.Sub(now))
+					}
+				}
+				if at.save != nil && at.save[0] == storeAddress && store.begun.IsZero() {
+					for _, other := range hosts {
+						if other.s.epoch != store.epoch && other.s.reads(now) && len(other.s.parts) > 0 {
+							t.Fatalf("a part is written while a host may still read it by what it knew before")
+						}
+					}
+					store.begun = now
+					store.whole = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "write")) * time.Millisecond)
+				}
+				h.g.end(at)
+			}
+		}
+	})
+	if steps < 10_000 {
+		t.Errorf("%d steps, want 10,000", steps)
+	}
+}
+
+type silentHelper struct{}
+
+func (silentHelper) Helper() {}
