Tell of the end of swaps after a failed write, and use swapped targets at once

Cause: a write of the lease that failed as the last swap ended was not made again, so all hosts kept that target out of use for 12 s (seen in TestHostOnThePlatform, which waited 12 s for it). Ruled out: the grace of targets that vanish in an outage (2 s). Tests that failed before: TestEndOfSwapsIsToldAfterAnOutage (row still busy with t5), TestSwappingTargets (no target although one was listed as swapped).

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -96,12 +96,13 @@
 
 // announce calls Ready as soon as the host has its records and its targets.
 func (h *Host) announce(ctx context.Context, callers net.Addr) error {
-	for !h.ready() {
-		if clock.Sleep(ctx, h.Clock, readyEvery) != nil {
+	for ctx.Err() == nil {
+		if h.ready() {
+			h.Ready(callers)
 			return nil
 		}
+		_ = clock.Sleep(ctx, h.Clock, readyEvery) // The loop looks at ctx.
 	}
-	h.Ready(callers)
 	return nil
 }
 
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -50,8 +50,8 @@
 	Clock  clock.Clock
 	Steady clock.Clock
 	Log    *log.Logger
-	// Serving is called once the host is ready for callers. It may be nil.
-	Serving func(callers net.Addr)
+	// Ready is called once when requests can be served, may be nil.
+	Ready func()
 
 	Codec      platform.Codec
 	Transport  http.RoundTripper
@@ -290,14 +290,15 @@
 
 // announce tells once that the host is ready.
 func (h *RoutedHost) announce(ctx context.Context) error {
-	for !h.gateway.Ready() {
-		if clock.Sleep(ctx, h.Clock, expireEvery) != nil {
+	for ctx.Err() == nil {
+		if h.gateway.Ready() {
+			h.Log.Info().Str("part", "entry").Int64("configVersion", h.gateway.Routes().Version).Msg("entry: ready")
+			if h.Ready != nil {
+				h.Ready()
+			}
 			return nil
 		}
-	}
-	h.Log.Info().Str("part", "entry").Int64("configVersion", h.gateway.Routes().Version).Msg("entry: ready")
-	if h.Serving != nil {
-		h.Serving(nil)
+		_ = clock.Sleep(ctx, h.Clock, readyEvery) // The loop looks at ctx.
 	}
 	return nil
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -316,9 +316,7 @@
 		r.g.outcome(at, true)
 	}
 	r.done(at, head.Status)
-	if err := r.sink.Answer(head, body); err != nil {
-		r.logEnd("callerGone", nil)
-	}
+	r.callerGone(r.sink.Answer(head, body))
 	return nil
 }
 
@@ -327,12 +325,9 @@
 	for {
 		event, err := reply.Next()
 		if errors.Is(err, io.EOF) {
-			if !r.begun {
-				if err := r.begin(reply); err != nil {
-					return nil //nolint:nilerr // The caller is gone; begin has logged it.
-				}
+			if r.begun || r.begin(reply) {
+				r.done(at, http.StatusOK)
 			}
-			r.done(at, http.StatusOK)
 			return nil
 		}
 		if err != nil {
@@ -344,8 +339,8 @@
 		}
 		if !r.begun {
 			r.g.firstToken(at)
-			if err := r.begin(reply); err != nil {
-				return nil //nolint:nilerr // The caller is gone; begin has logged it.
+			if !r.begin(reply) {
+				return nil
 			}
 		}
 		r.g.tokens(at)
@@ -353,8 +348,7 @@
 		if event.ID != eventstream.NoID {
 			r.after = event.ID
 		}
-		if err := r.sink.Event(event.Raw); err != nil {
-			r.logEnd("callerGone", nil)
+		if r.callerGone(r.sink.Event(event.Raw)) {
 			return nil
 		}
 	}
@@ -373,13 +367,20 @@
 	r.lastEvent = now
 }
 
-func (r *run) begin(reply Reply) error {
+// begin passes the beginning of a stream on, and returns false when the caller
+// is gone.
+func (r *run) begin(reply Reply) bool {
 	r.begun = true
-	if err := r.sink.Begin(reply.Head()); err != nil {
+	return !r.callerGone(r.sink.Begin(reply.Head()))
+}
+
+// callerGone reports whether writing to the caller has failed, which ends the
+// request without a fault of anyone here.
+func (r *run) callerGone(err error) bool {
+	if err != nil {
 		r.logEnd("callerGone", nil)
-		return err
 	}
-	return nil
+	return err != nil
 }
 
 // done counts a finished request once.
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sassafrasplank.example/sassafrasplank/internal/eventstream"
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/gateway"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
 )
@@ -194,6 +195,39 @@
 	}
 }
 
+// A target that swaps its weights gets no work, until it is listed with the
+// version that was asked for.
+func TestSwappingTargets(t *testing.T) {
+	w := newWorld(t, stream(1, 2, io.EOF))
+	w.SetVersion(letter, 2)
+	w.SetSwapping([]string{"e1", "e2"}, nil)
+	if s := w.serve(request(routing.Stream, 1)); s.refused == nil || !s.refused.NotRun {
+		t.Errorf("got %+v while all targets swap", s)
+	}
+	w.Fleet.Put(fleet.Target{ID: "e2", Service: loom, Address: "e2:1", Slots: 16, Versions: map[string]int64{letter: 2}})
+	w.TargetsChanged()
+	if s := w.serve(request(routing.Stream, 1)); s.body != "12" {
+		t.Errorf("got %+v after one target has swapped", s)
+	}
+	if diff := cmp.Diff([]string{"e2"}, w.targets.targets()); diff != "" {
+		t.Errorf("targets (-want +got):\n%s", diff)
+	}
+}
+
+// A target about to swap gets short work only.
+func TestDrainingTargetsGetShortWork(t *testing.T) {
+	w := newWorld(t, stream(1, 2, io.EOF))
+	w.SetSwapping(nil, []string{"e1"})
+	for range 4 {
+		long := request(routing.Stream, 1)
+		long.AnswerTokens = w.Config.Placement.LongTokens + 1
+		w.serve(long)
+	}
+	if diff := cmp.Diff([]string{"e2", "e2", "e2", "e2"}, w.targets.targets()); diff != "" {
+		t.Errorf("targets of long work (-want +got):\n%s", diff)
+	}
+}
+
 // All further attempts together stay within the share of the requests.
 func TestBudgetBoundsFurtherAttempts(t *testing.T) {
 	w := newWorld(t, fails(notRun))
--- a/internal/gateway/stores_test.go
+++ b/internal/gateway/stores_test.go
@@ -209,67 +209,92 @@
 	begun, whole time.Time
 }
 
+// storeHost is one host of the machine.
+type storeHost struct {
+	g *Gateway
+	s *cacheStore
+	c *handClock
+}
+
+// storeMachine is a store and hosts that hear of it late or not at all.
+type storeMachine struct {
+	storeModel
+	hosts []storeHost
+	now   time.Time
+	n     int
+}
+
+func (m *storeMachine) step(t *rapid.T) {
+	m.n++
+	h := m.hosts[rapid.IntRange(0, len(m.hosts)-1).Draw(t, "host")]
+	switch rapid.SampledFrom([]string{"time", "answer", "answer", "place", "place", "restart", "lost"}).Draw(t, "step") {
+	case "time":
+		m.now = m.now.Add(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond)
+		for _, each := range m.hosts {
+			each.c.now = m.now
+		}
+	case "answer":
+		events := told(m.epoch, m.now.UnixMilli())
+		if !m.whole.IsZero() && !m.now.Before(m.whole) {
+			events.Events = []CacheEvent{whole(sharedWall)}
+		}
+		h.g.applyStore("s", h.s, events)
+	case "lost":
+		h.g.storeLost(h.s)
+	case "restart":
+		m.epoch++
+		m.begun, m.whole = time.Time{}, time.Time{}
+	case "place":
+		h.g.board.ForgetCache("e1")
+		at := h.g.placed(storeWork(string(rune('a' + m.n%26))))
+		m.read(t, at)
+		m.write(t, at)
+		h.g.end(at)
+	}
+}
+
+// read checks that nothing is read while it is written, nor for too long.
+func (m *storeMachine) read(t *rapid.T, at *attempt) {
+	if at.fetch == nil || at.fetch[0] != storeAddress {
+		return
+	}
+	if !m.begun.IsZero() && m.now.Before(m.whole) {
+		t.Fatalf("a part is read while it is written")
+	}
+	if ends := time.UnixMilli(at.until); ends.Sub(m.now) > readLease {
+		t.Fatalf("a read may last %s", ends.Sub(m.now))
+	}
+}
+
+// write begins to write the part and checks that nobody may still read it by
+// what was known of the store before it started anew.
+func (m *storeMachine) write(t *rapid.T, at *attempt) {
+	if at.save == nil || at.save[0] != storeAddress || !m.begun.IsZero() {
+		return
+	}
+	for _, other := range m.hosts {
+		if other.s.epoch != m.epoch && other.s.reads(m.now) && len(other.s.parts) > 0 {
+			t.Fatalf("a part is written while a host may still read it by what it knew before")
+		}
+	}
+	m.begun = m.now
+	m.whole = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "write")) * time.Millisecond)
+}
+
 // No host reads a part while it is written again after a restart of its store,
 // whatever the hosts have heard of the restart.
 func TestStoreMachine(t *testing.T) {
 	steps := 0
 	rapid.Check(t, func(t *rapid.T) {
-		store := &storeModel{epoch: 1}
-		type host struct {
-			g *Gateway
-			s *cacheStore
-			c *handClock
-		}
-		var hosts []host
+		m := &storeMachine{storeModel: storeModel{epoch: 1}}
 		for range 3 {
 			g, s, c := newStoreWorld(silentHelper{})
-			hosts = append(hosts, host{g, s, c})
+			m.hosts = append(m.hosts, storeHost{g, s, c})
 		}
-		now := hosts[0].c.now
-		clockOf := func() int64 { return now.UnixMilli() }
-		for n := range rapid.IntRange(50, 300).Draw(t, "steps") {
+		m.now = m.hosts[0].c.now
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
 			steps++
-			h := hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "host")]
-			switch rapid.SampledFrom([]string{"time", "answer", "answer", "place", "place", "restart", "lost"}).Draw(t, "step") {
-			case "time":
-				now = now.Add(time.Duration(rapid.IntRange(10, 1500).Draw(t, "ms")) * time.Millisecond)
-				for _, each := range hosts {
-					each.c.now = now
-				}
-			case "answer":
-				events := told(store.epoch, clockOf())
-				if !store.whole.IsZero() && !now.Before(store.whole) {
-					events.Events = []CacheEvent{whole(sharedWall)}
-				}
-				h.g.applyStore("s", h.s, events)
-			case "lost":
-				h.g.storeLost(h.s)
-			case "restart":
-				store.epoch++
-				store.begun, store.whole = time.Time{}, time.Time{}
-			case "place":
-				h.g.board.ForgetCache("e1")
-				at := h.g.placed(storeWork(string(rune('a' + n%26))))
-				if at.fetch != nil && at.fetch[0] == storeAddress {
-					ends := time.UnixMilli(at.until)
-					if !store.begun.IsZero() && now.Before(store.whole) {
-						t.Fatalf("a part is read while it is written")
-					}
-					if ends.Sub(now) > readLease {
-						t.Fatalf("a read may last %s", ends.Sub(now))
-					}
-				}
-				if at.save != nil && at.save[0] == storeAddress && store.begun.IsZero() {
-					for _, other := range hosts {
-						if other.s.epoch != store.epoch && other.s.reads(now) && len(other.s.parts) > 0 {
-							t.Fatalf("a part is written while a host may still read it by what it knew before")
-						}
-					}
-					store.begun = now
-					store.whole = now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "write")) * time.Millisecond)
-				}
-				h.g.end(at)
-			}
+			m.step(t)
 		}
 	})
 	if steps < 10_000 {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -6,7 +6,9 @@
 	"strconv"
 	"time"
 
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/routing"
 )
 
 // weights are the versions of one model.
@@ -71,27 +73,8 @@
 	}
 	targets := g.Fleet.Targets()
 	specs := make([]placement.EngineSpec, 0, len(targets))
-	held := map[string]map[int64]bool{}
 	for _, t := range targets {
-		spec := placement.EngineSpec{
-			Name:          t.ID,
-			FailureDomain: t.FailureDomain,
-			Models:        []string{t.Service},
-			Slots:         max(1, t.Slots),
-			PrefillRate:   g.Config.PlainRate,
-		}
-		if service := cfg.Services[t.Service]; service.Engine != nil {
-			spec.PrefillRate = g.Config.PrefillTokensPerSecond
-			spec.MemoryTokens = service.Engine.CacheTokens
-			spec.TokenGap = g.Config.TokenGap.Duration
-		}
-		specs = append(specs, spec)
-		for model, version := range t.Versions {
-			if held[model] == nil {
-				held[model] = map[int64]bool{}
-			}
-			held[model][version] = true
-		}
+		specs = append(specs, g.engineSpec(t, cfg.Services[t.Service].Engine))
 	}
 	g.board.SetEngines(now, specs)
 	for _, t := range targets {
@@ -100,6 +83,41 @@
 			versions = append(versions, versionName(model, version))
 		}
 		g.board.Report(now, t.ID, placement.LoadReport{Versions: versions, Leaving: t.Leaving, Incarnation: t.Started})
+		if g.swapping[t.ID] && g.upToDate(t) {
+			g.board.Resume(t.ID)
+			delete(g.swapping, t.ID)
+		}
+	}
+	g.noteVersions(now, targets)
+}
+
+// engineSpec describes a target to the board; engine is nil for plain services.
+func (g *Gateway) engineSpec(t fleet.Target, engine *routing.Engine) placement.EngineSpec {
+	spec := placement.EngineSpec{
+		Name:          t.ID,
+		FailureDomain: t.FailureDomain,
+		Models:        []string{t.Service},
+		Slots:         max(1, t.Slots),
+		PrefillRate:   g.Config.PlainRate,
+	}
+	if engine != nil {
+		spec.PrefillRate = g.Config.PrefillTokensPerSecond
+		spec.MemoryTokens = engine.CacheTokens
+		spec.TokenGap = g.Config.TokenGap.Duration
+	}
+	return spec
+}
+
+// noteVersions notes which versions targets hold. The lock must be held.
+func (g *Gateway) noteVersions(now time.Time, targets []fleet.Target) {
+	held := map[string]map[int64]bool{}
+	for _, t := range targets {
+		for model, version := range t.Versions {
+			if held[model] == nil {
+				held[model] = map[int64]bool{}
+			}
+			held[model][version] = true
+		}
 	}
 	for model, versions := range held {
 		w := g.model(model)
@@ -112,6 +130,17 @@
 	}
 }
 
+// upToDate reports whether a target holds all versions that operators asked for.
+// The lock must be held.
+func (g *Gateway) upToDate(t fleet.Target) bool {
+	for model, version := range t.Versions {
+		if w := g.weights[model]; w != nil && version < w.named {
+			return false
+		}
+	}
+	return true
+}
+
 // oldAllowed reports whether work may still begin on older weights than those
 // that operators asked for. The lock must be held.
 func (g *Gateway) oldAllowed(now time.Time, w *weights) bool {
@@ -137,6 +166,9 @@
 		g.board.Drain(id, time.Time{})
 	}
 	for _, id := range closed {
+		if t, ok := g.Fleet.Find(id); ok && g.upToDate(t) {
+			continue
+		}
 		if !g.swapping[id] {
 			g.board.Avoid(id, now.Add(swapWithin))
 			g.swapping[id] = true
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -82,10 +82,7 @@
 	}
 	for ctx.Err() == nil {
 		pause := f.Pause
-		if err := f.step(ctx); err != nil {
-			if ctx.Err() != nil {
-				break
-			}
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			pause = followRetry
 		}
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -162,7 +162,7 @@
 	named := l.namedList()
 	due := anyBehind(targets, named) || obsolete
 	now := l.Steady.Now()
-	if !due && l.Plan.Idle() {
+	if !due && l.Plan.Idle() && !l.stale() {
 		l.wanted = time.Time{}
 		l.mu.Unlock()
 		return
@@ -209,7 +209,8 @@
 	renew := !l.Lease.Holds(now, l.Lease.Lasts/renewPart)
 	changed := false
 	if holds {
-		changed = l.Plan.Update(l.Clock.Now(), targets, named)
+		l.Plan.Update(l.Clock.Now(), targets, named)
+		changed = l.stale()
 	}
 	known := l.Lease.Known()
 	take := l.Lease.MayTake(now) && now.Sub(l.wanted) > l.patience()
@@ -227,6 +228,17 @@
 	}
 }
 
+// stale reports whether this host's row says something else than its plan, as
+// it does after a write that failed. The lock must be held.
+func (l *Leader) stale() bool {
+	r := l.Lease.Record()
+	if r.Holder != l.Host {
+		return false
+	}
+	closed, draining := l.Plan.Swapping()
+	return !slices.Equal(r.Busy, closed) || !slices.Equal(r.Soon, draining)
+}
+
 // patience lets the former holder go first. The lock must be held.
 func (l *Leader) patience() time.Duration {
 	if l.Lease.Holder() == l.Host {
--- a/internal/rollout/leader_test.go
+++ b/internal/rollout/leader_test.go
@@ -254,6 +254,25 @@
 	})
 }
 
+// Targets that have swapped are told of as free, also when the service was away
+// as the last one ended.
+func TestEndOfSwapsIsToldAfterAnOutage(t *testing.T) {
+	hosts(t, func(row *sharedRow, e *engines, leaders map[string]*rollout.Leader) {
+		name(leaders, 2)
+		for !e.done(2) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		row.set(func() { row.cut = map[string]bool{"a": true, "b": true, "c": true} })
+		time.Sleep(500 * time.Millisecond)
+		row.set(func() { row.cut = map[string]bool{} })
+		time.Sleep(time.Second)
+		var r lease.Record
+		if err := json.Unmarshal(row.value, &r); err != nil || len(r.Busy)+len(r.Soon) > 0 {
+			t.Errorf("after the end of all swaps the row says %+v, %v", r, err)
+		}
+	})
+}
+
 func TestNoOrderWithoutTheService(t *testing.T) {
 	hosts(t, func(row *sharedRow, e *engines, leaders map[string]*rollout.Leader) {
 		row.set(func() { row.cut = map[string]bool{"a": true, "b": true, "c": true} })
