Refuse work beyond three quarters of the engines' memory

Cause: at 95% new requests waited for room at the engines and all were late; p90 of the first event was 1.2 s where 0.3 s was expected. Ruled out: choosing among 2 or 3 random targets against stale views (trials y0, y2, y3: no difference above noise; not kept).

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -171,8 +171,8 @@
 		PrefillTokensPerSecond: 60_000,
 		TokenGap:               Of(4 * time.Millisecond),
 		PlainRate:              60,
-		MemoryShare:            0.95,
-		MemoryStep:             0.04,
+		MemoryShare:            0.75,
+		MemoryStep:             0.03,
 		StopDelay:              Of(3 * time.Second),
 		StopWithin:             Of(7 * time.Second),
 	}
