Leave dead targets alone for longer, tell callers that left from failures

Ruled out: the penalty for failures, which doesn't choose when no other target is eligible. Tests that failed before: TestDeadTargetIsLeftAlone (26 tries instead of at most 8), TestLeavingCallerIsNoFailure. Also: work waits a quarter of its goal for a target, not all of it.

--- a/internal/common/failure/failure.go
+++ b/internal/common/failure/failure.go
@@ -31,6 +31,7 @@
 	BookingsDown     Code = "bookingsUnavailable"
 	DeadlineExceeded Code = "deadlineExceeded"
 	LedgerFull       Code = "ledgerFull"
+	CallerGone       Code = "callerGone"
 )
 
 // Error is a failure as told to a caller. NotRun is true only when no byte of
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -243,16 +243,27 @@
 	g.board.Outcome(g.Clock.Now(), at.target.ID, failed)
 }
 
-func (g *Gateway) succeeded(at *attempt) { g.outcome(at, false) }
+func (g *Gateway) succeeded(at *attempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.lostInARow, at.target.ID)
+	g.board.Outcome(g.Clock.Now(), at.target.ID, false)
+}
+
+// mostAvoid bounds how many times AvoidFor a target is avoided. A dead target is
+// off the list by then.
+const mostAvoid = 8
 
-// unreachable keeps new work from a target until its next sign of life, and
-// for a short time at least.
+// unreachable keeps new work from a target, each time in a row for twice as
+// long: one that is dead runs nothing and would else seem to have most room.
 func (g *Gateway) unreachable(at *attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
+	times := min(mostAvoid, max(1, 2*g.lostInARow[at.target.ID]))
+	g.lostInARow[at.target.ID] = times
 	g.board.Outcome(now, at.target.ID, true)
-	g.board.Avoid(at.target.ID, now.Add(g.Config.Retries.AvoidFor.Duration))
+	g.board.Avoid(at.target.ID, now.Add(time.Duration(times)*g.Config.Retries.AvoidFor.Duration))
 }
 
 // misdirected keeps new work from an address that belongs to another target
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,10 @@
 	budgets  map[string]*retry.Budget
 	weights  map[string]*weights
 	swapping map[string]bool
-	stores   map[string]*cacheStore
+	// lostInARow is how many times AvoidFor each target was avoided last since it
+	// has answered.
+	lostInARow map[string]int
+	stores     map[string]*cacheStore
 	// bytesPerToken and fetchRate, in bytes per second, are those of the engines.
 	bytesPerToken, fetchRate float64
 	active                   atomic.Int64
@@ -74,6 +77,7 @@
 	g.budgets = map[string]*retry.Budget{}
 	g.weights = map[string]*weights{}
 	g.swapping = map[string]bool{}
+	g.lostInARow = map[string]int{}
 	g.stores = map[string]*cacheStore{}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -83,6 +83,12 @@
 
 // finish gives the caller the final word.
 func (r *run) finish(final *failure.Error) {
+	if final.Code == failure.CallerGone {
+		r.g.count("requests.callerGone")
+		r.logEnd("callerGone", final)
+		r.sink.Abort()
+		return
+	}
 	if r.begun {
 		r.logEnd("broken", final)
 		r.g.count("requests.broken")
@@ -106,7 +112,7 @@
 // what the caller is told.
 func (r *run) afterFailure(ctx context.Context, at *attempt, err error) *failure.Error {
 	if ctx.Err() != nil {
-		return r.timedOut()
+		return r.ended(ctx)
 	}
 	var refused *NotRunError
 	var broken *BrokenError
@@ -171,6 +177,18 @@
 	return refusal
 }
 
+// ended tells why the time of a request is over: its caller has left, or its
+// deadline has passed.
+func (r *run) ended(ctx context.Context) *failure.Error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &failure.Error{Status: statusCallerGone, Code: failure.CallerGone, Message: "the caller went away", NotRun: r.runs == 0}
+	}
+	return r.timedOut()
+}
+
+// statusCallerGone stands in the log for an answer that nobody reads.
+const statusCallerGone = 499
+
 func (r *run) timedOut() *failure.Error {
 	if r.runs == 0 {
 		return failure.Busy(failure.DeadlineExceeded, r.retryAfter(), "no target ran it in time")
@@ -204,7 +222,7 @@
 // time, since targets that change their weights are soon back.
 func (r *run) place(ctx context.Context) (*attempt, *failure.Error) {
 	begin := r.g.Clock.Now()
-	patience := min(r.work.Route.Goal, r.work.Deadline.Sub(begin)/patienceShare)
+	patience := min(r.work.Route.Goal, r.work.Deadline.Sub(begin)) / patienceShare
 	for {
 		at := r.g.choose(&r.request, r.work)
 		if at != nil {
@@ -216,7 +234,7 @@
 			return nil, r.noTarget()
 		}
 		if clock.Sleep(ctx, r.g.Clock, placePause) != nil {
-			return nil, r.timedOut()
+			return nil, r.ended(ctx)
 		}
 		if r.tries > 0 {
 			// Targets that were tried before are better than none.
@@ -226,9 +244,10 @@
 }
 
 const (
-	// patienceShare is the part of a request's time that it waits for a target
-	// to come back: one in this many.
-	patienceShare = 8
+	// patienceShare is the part of its goal that a request waits for a target to
+	// come back: one in this many. A caller that waits longer in vain could have
+	// come back in time.
+	patienceShare = 4
 	// placePause is the time between two tries to find a target.
 	placePause = 20 * time.Millisecond
 )
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"sassafrasplank.example/sassafrasplank/internal/config"
 	"sassafrasplank.example/sassafrasplank/internal/eventstream"
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/gateway"
@@ -228,6 +230,40 @@
 	}
 }
 
+// A target that can't be reached again and again is left alone for longer each
+// time, also when no other one has room.
+func TestDeadTargetIsLeftAlone(t *testing.T) {
+	synctest.Test(t, testDeadTarget)
+}
+
+func testDeadTarget(t *testing.T) {
+	w := newWorld(t, fails(unreachable))
+	w.Config.Retries.AvoidFor = config.Of(20 * time.Millisecond)
+	w.Config.Retries.MostTries = 1
+	w.Fleet.Put(fleet.Target{ID: "e2", Service: loom, Address: "e2:1", Slots: 16, Leaving: true, Versions: map[string]int64{letter: 1}})
+	w.TargetsChanged()
+	item := request(routing.Stream, 1)
+	item.Route.Goal = 10 * time.Millisecond
+	for begin := time.Now(); time.Since(begin) < 600*time.Millisecond; time.Sleep(4 * time.Millisecond) {
+		w.serve(item)
+	}
+	if tried := len(w.targets.targets()); tried < 2 || tried > 8 {
+		t.Errorf("the dead target was tried %d times, want 2 to 8", tried)
+	}
+}
+
+// A caller that leaves is no failure of a target or of this system.
+func TestLeavingCallerIsNoFailure(t *testing.T) {
+	w := newWorld(t, silent(0, -1))
+	ctx, leave := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, leave)
+	s := &fakeSink{}
+	w.Serve(ctx, request(routing.Once, 1), s)
+	if s.refused != nil || !s.aborted {
+		t.Errorf("got %+v, aborted %t", s.refused, s.aborted)
+	}
+}
+
 // All further attempts together stay within the share of the requests.
 func TestBudgetBoundsFurtherAttempts(t *testing.T) {
 	w := newWorld(t, fails(notRun))
