Judge each version of the weights from its own naming

Cause: when a version was named 4 s after another one, work could begin on the first weights for as long after the second naming as after one, which is later than the bound of the first; and the targets with the oldest weights were swapped last. Ruled out: too few swaps at once (two a time end in time for both versions). Tests that failed to compile or would fail before: TestOldWeightsAreUsedForATime, TestOldestVersionsSwapFirst.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,7 +130,7 @@
 	versions := model.held
 	var best *attempt
 	for _, version := range versions {
-		if version < model.named && !g.oldAllowed(now, model) {
+		if !g.allowed(now, model, version) {
 			break
 		}
 		at := g.try(now, req, w, versionName(w.Model, version), version)
--- a/internal/gateway/clean.go
+++ b/internal/gateway/clean.go
@@ -49,7 +49,7 @@
 		return false
 	}
 	w := g.weights[model]
-	if w == nil || version >= w.named || len(w.held) == 0 {
+	if w == nil || version >= w.named.Version || len(w.held) == 0 {
 		return false
 	}
 	if w.held[len(w.held)-1] <= version {
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -216,6 +216,26 @@
 	}
 }
 
+// Work begins on older weights only for a time, counted from the first version
+// that they are behind.
+func TestOldWeightsAreUsedForATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, stream(1, 2, io.EOF))
+		limit := w.Config.Rollout.Within.Duration - w.Config.Rollout.Margin.Duration
+		w.SetVersion(letter, 2)
+		time.Sleep(limit / 2)
+		w.SetVersion(letter, 3)
+		time.Sleep(limit/2 - time.Millisecond)
+		if s := w.serve(request(routing.Stream, 1)); s.body != "12" {
+			t.Errorf("before the time is over: %+v", s)
+		}
+		time.Sleep(2 * time.Millisecond)
+		if s := w.serve(request(routing.Stream, 1)); s.refused == nil || !s.refused.NotRun {
+			t.Errorf("after it: %+v", s)
+		}
+	})
+}
+
 // A target about to swap gets short work only.
 func TestDrainingTargetsGetShortWork(t *testing.T) {
 	w := newWorld(t, stream(1, 2, io.EOF))
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -8,15 +8,14 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/rollout"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
 )
 
 // weights are the versions of one model.
 type weights struct {
-	// named is the version that operators asked for, 0 for none, and since when
-	// this host has known of it.
-	named int64
-	since time.Time
+	// named is what operators ask for.
+	named rollout.Named
 	// held are the versions that targets hold, the newest first, and oldestSince
 	// is when the oldest of them changed.
 	held        []int64
@@ -43,11 +42,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w := g.model(model)
-	if version <= w.named {
+	if version <= w.named.Version {
 		return false
 	}
-	w.named = version
-	w.since = g.Clock.Now()
+	w.named = w.named.Name(version, g.Clock.Now())
 	return true
 }
 
@@ -134,17 +132,22 @@
 // The lock must be held.
 func (g *Gateway) upToDate(t fleet.Target) bool {
 	for model, version := range t.Versions {
-		if w := g.weights[model]; w != nil && version < w.named {
+		if w := g.weights[model]; w != nil && version < w.named.Version {
 			return false
 		}
 	}
 	return true
 }
 
-// oldAllowed reports whether work may still begin on older weights than those
-// that operators asked for. The lock must be held.
-func (g *Gateway) oldAllowed(now time.Time, w *weights) bool {
-	return now.Sub(w.since) < g.Config.Rollout.Within.Duration-g.Config.Rollout.Margin.Duration
+// allowed reports whether work may still begin on a version of the weights: it
+// is what operators ask for, or has not been behind that for too long. The lock
+// must be held.
+func (g *Gateway) allowed(now time.Time, w *weights, version int64) bool {
+	if version >= w.named.Version {
+		return true
+	}
+	rollout := g.Config.Rollout
+	return now.Sub(w.named.BehindSince(version)) < rollout.Within.Duration-rollout.Margin.Duration
 }
 
 // swapWithin is how long a target that is said to swap its weights gets no new
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -98,7 +98,9 @@
 		l.named = map[string]Named{}
 	}
 	if l.named[model].Version < version {
-		l.named[model] = Named{Model: model, Version: version, Since: l.Clock.Now()}
+		named := l.named[model]
+		named.Model = model
+		l.named[model] = named.Name(version, l.Clock.Now())
 	}
 }
 
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -18,6 +18,37 @@
 	Version int64
 	// Since is when this host heard of it.
 	Since time.Time
+	// Earlier are the versions that were asked for before, the oldest first.
+	Earlier []Step
+}
+
+// Step is a version that was asked for, and when this host heard of it.
+type Step struct {
+	Version int64
+	Since   time.Time
+}
+
+// Name returns n after a newer version was asked for at a time.
+func (n Named) Name(version int64, now time.Time) Named {
+	if n.Version > 0 {
+		n.Earlier = append(slices.Clone(n.Earlier), Step{n.Version, n.Since})
+		n.Earlier = n.Earlier[max(0, len(n.Earlier)-stepsKept):]
+	}
+	n.Version, n.Since = version, now
+	return n
+}
+
+// stepsKept bounds the earlier versions that are remembered.
+const stepsKept = 16
+
+// BehindSince returns since when a version has been behind what was asked for.
+func (n Named) BehindSince(version int64) time.Time {
+	for _, step := range n.Earlier {
+		if step.Version > version {
+			return step.Since
+		}
+	}
+	return n.Since
 }
 
 // swap is one target on its way to a version.
@@ -181,6 +212,7 @@
 func (p *Plan) choose(now time.Time, targets []fleet.Target, n Named) bool {
 	var waiting []fleet.Target
 	holders, swapping := 0, 0
+	since := n.Since
 	for _, t := range targets {
 		if _, holds := t.Versions[n.Model]; !holds {
 			continue
@@ -197,16 +229,19 @@
 			continue
 		}
 		waiting = append(waiting, t)
+		if behindSince := n.BehindSince(t.Versions[n.Model]); behindSince.Before(since) {
+			since = behindSince
+		}
 	}
-	atOnce := p.atOnce(now.Sub(n.Since), holders, len(waiting)+swapping)
+	atOnce := p.atOnce(now.Sub(since), holders, len(waiting)+swapping)
 	p.loads = max(p.Loads, atOnce)
 	room := atOnce - swapping
 	if room <= 0 || len(waiting) == 0 {
 		return false
 	}
-	// Those with the newest weights have the least cached that is of use.
+	// Those with the oldest weights have the least time left.
 	slices.SortStableFunc(waiting, func(a, b fleet.Target) int {
-		return cmp.Compare(b.Versions[n.Model], a.Versions[n.Model])
+		return cmp.Compare(a.Versions[n.Model], b.Versions[n.Model])
 	})
 	for _, t := range waiting[:min(room, len(waiting))] {
 		p.swaps[t.ID] = &swap{model: n.Model, version: n.Version, chosen: now}
--- a/internal/rollout/plan_test.go
+++ b/internal/rollout/plan_test.go
@@ -129,6 +129,27 @@
 	}
 }
 
+// Each version is due from its own naming: what was behind the first one is due
+// before what is behind the second only.
+func TestOldestVersionsSwapFirst(t *testing.T) {
+	named := rollout.Named{Model: "m"}.Name(2, begin).Name(3, begin.Add(4*time.Second))
+	for version, want := range map[int64]time.Duration{1: 0, 2: 4 * time.Second} {
+		if got := named.BehindSince(version).Sub(begin); got != want {
+			t.Errorf("version %d is behind since %s, want %s", version, got, want)
+		}
+	}
+	list := targets(6)
+	for i := range 3 {
+		list[i].Versions = map[string]int64{"m": 2}
+	}
+	p := newPlan()
+	p.Update(begin.Add(5*time.Second), list, []rollout.Named{named})
+	_, draining := p.Swapping()
+	if len(draining) == 0 || draining[0] != "t03" {
+		t.Errorf("got %v, want a target with version 1 first", draining)
+	}
+}
+
 func TestLeavingTargetsAreLeftAlone(t *testing.T) {
 	list := targets(2)
 	list[0].Leaving = true
