--- a/commands/check.go
+++ b/commands/check.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		if !holdsRecords(doc) {
-			_, err := config.Decode(path, data)
+			err := checkSettings(doc, path, data)
 			findings = append(findings, finding.From(err, finding.Place{Source: path})...)
 			continue
 		}
@@ -68,6 +68,17 @@
 	return findings
 }
 
+// checkSettings checks the settings of an entry host of either kind. Only those
+// of routed hosts name a listener for readiness.
+func checkSettings(doc *jsonc.Document, path string, data []byte) error {
+	if doc.Has("/readiness") {
+		_, err := config.DecodeRouted(path, data)
+		return err
+	}
+	_, err := config.Decode(path, data)
+	return err
+}
+
 func addRecords(set *record.Set, records []record.Record, doc *jsonc.Document, places map[string]finding.Place) *record.Set {
 	var changes []record.Change
 	elements := doc.Elements()
--- a/commands/route.go
+++ b/commands/route.go
@@ -20,6 +20,10 @@
 // dropped, so that a slow reader never holds a request up.
 const logRing = 1024
 
+// memoryLimitShare is the part of a host's memory that the collector aims at.
+// The rest is for what isn't on the heap, such as unread bytes of sockets.
+const memoryLimitShare = 0.7
+
 func newRoute() *cli.Command {
 	return &cli.Command{
 		Name:  "route",
@@ -33,7 +37,7 @@
 				return err
 			}
 			if cfg.MemoryBytes > 0 {
-				debug.SetMemoryLimit(cfg.MemoryBytes)
+				debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryLimitShare))
 			}
 			stop, hasten, end := stopSignals(ctx)
 			defer end()
--- /dev/null
+++ b/internal/config/routed_test.go
@@ -0,0 +1,64 @@
+package config_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sassafrasplank.example/sassafrasplank/internal/config"
+)
+
+func TestRoutedSettings(t *testing.T) {
+	good := `{
+  // the smallest settings
+  "host": "a", "failureDomain": "north",
+  "table": {"url": "http://127.0.0.1:1"},
+  "rollout": {"within": "15000ms"}
+}`
+	cfg, err := config.DecodeRouted("a.json", []byte(good))
+	if err != nil || cfg.Rollout.Within.Seconds() != 15 || cfg.Retries.MostTries == 0 {
+		t.Errorf("got %+v, %v", cfg.Rollout, err)
+	}
+	bad := `{
+  "host": "", "failureDomain": "north",
+  "callers": {"listen": "somewhere"},
+  "table": {"url": "", "callTimeout": "0s"},
+  "stopDelay": "9s"
+}`
+	_, err = config.DecodeRouted("b.json", []byte(bad))
+	want := []string{
+		`b.json:2:11: host: a name is required`,
+		`b.json:3:25: callers.listen: want an IP number and a port such as 127.0.0.1:8080, got "somewhere"`,
+		`b.json:4:20: table.url: want a URL such as http://127.0.0.1:9000, got ""`,
+		`b.json:4:39: table.callTimeout: want a duration above zero`,
+		`b.json:5:16: stopDelay: 9s is not shorter than stopWithin, 7s`,
+	}
+	if diff := cmp.Diff(want, strings.Split(err.Error(), "\n")); diff != "" {
+		t.Errorf("findings (-want +got):\n%s", diff)
+	}
+	_, err = config.DecodeRouted("c.json", []byte(`{"host": "a", "odd": 1, "stopWithin": 7}`))
+	if err == nil || !strings.Contains(err.Error(), "odd") || !strings.Contains(err.Error(), "stopWithin") {
+		t.Errorf("unknown field and bare number: got %v", err)
+	}
+}
+
+// The template that the platform fills in holds only fields that are known.
+func TestTemplateOfTheDeployment(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/settings.json.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	filled := strings.NewReplacer(
+		"{{node_name|json}}", `"edge-1"`, "{{zone|json}}", `"north"`, "{{listen.front|json}}", `"127.0.0.1:1"`,
+		"{{listen.ready|json}}", `"127.0.0.1:2"`, "{{ip}}", "127.0.0.1", "{{port_range.0}}", "3", "{{port_range.1}}", "4",
+		"{{limits.ram_mb}}", "284", "{{platform.addr}}", "127.0.0.1:5", "{{bounds.lease_ms}}", "3000", "{{bounds.version_ms}}", "15000",
+	).Replace(string(data))
+	if strings.Contains(filled, "{{") {
+		t.Fatalf("the test doesn't fill in all of the template:\n%s", filled)
+	}
+	if _, err := config.DecodeRouted("settings.json.tmpl", []byte(filled)); err != nil {
+		t.Error(err)
+	}
+}
