--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -87,7 +87,8 @@
 // RoutedRetries configures further attempts of routed requests.
 type RoutedRetries struct {
 	// BudgetPercent is the number of further attempts per hundred requests of a
-	// service on this host, and Reserve the most that are saved up.
+	// service on this host, and Reserve the most beyond it of all hosts together
+	// in a window.
 	BudgetPercent float64 `json:"budgetPercent"`
 	Reserve       float64 `json:"reserve"`
 	// MostTries bounds the attempts of one request over all targets.
@@ -157,7 +158,7 @@
 		Slowness:  base.Slowness,
 		Retries: RoutedRetries{
 			BudgetPercent:   12,
-			Reserve:         3,
+			Reserve:         48,
 			MostTries:       4,
 			SilentGoals:     3,
 			AvoidFor:        Of(time.Second),
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -159,6 +159,7 @@
 	}
 	h.group.Init()
 	h.writer.Mirror, h.writer.Hosts = h.group, h.group.Hosts
+	h.gateway.Hosts = h.group.Hosts
 }
 
 // rank spreads hosts evenly over [0, 1).
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 	Fleet   *fleet.View
 	Ledger  LedgerWriter
 	Freer   PartFreer
+	// Hosts returns the number of live entry hosts; nil stands for few.
+	Hosts   func() int
 	Log     *log.Logger
 	Metrics metrics.Registry
 
@@ -119,12 +121,36 @@
 func (g *Gateway) budget(service string) *retry.Budget {
 	b := g.budgets[service]
 	if b == nil {
-		b = &retry.Budget{Percent: g.Config.Retries.BudgetPercent, Reserve: g.Config.Retries.Reserve}
+		b = &retry.Budget{}
 		g.budgets[service] = b
 	}
+	b.Percent = g.Config.Retries.BudgetPercent
+	b.Reserve = g.reserve()
 	return b
 }
 
+const (
+	// leastReserve and mostReserve bound the further attempts that a host saves up
+	// for a service. With less than one saved, it could never make any.
+	leastReserve = 1
+	mostReserve  = 3
+	// reserveShare is the part of the reserve of all hosts that they use: one in
+	// this many. The rest is for hosts that start anew with a full one.
+	reserveShare = 2
+	// fewestHosts is the number of hosts among which the reserve is shared at
+	// least, as a host that starts knows no others.
+	fewestHosts = 8
+)
+
+// reserve returns the further attempts that this host may save up for a service.
+func (g *Gateway) reserve() float64 {
+	hosts := fewestHosts
+	if g.Hosts != nil {
+		hosts = max(hosts, g.Hosts())
+	}
+	return min(mostReserve, max(leastReserve, g.Config.Retries.Reserve/float64(reserveShare*hosts)))
+}
+
 func (g *Gateway) count(name string) {
 	metrics.GetOrRegisterCounter(name, g.Metrics).Inc(1)
 }
