--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/jsonc"
+	"sassafrasplank.example/sassafrasplank/pkg/finding"
 )
 
 // Config holds all settings of one entry host.
@@ -239,23 +240,33 @@
 
 // Load reads and checks a settings file. All findings are returned together
 // as a *finding.Error.
-func Load(path string) (Config, error) {
+func Load(path string) (Config, error) { return load(path, Decode) }
+
+// load reads a settings file and decodes it.
+func load[T any](path string, decode func(source string, data []byte) (T, error)) (T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("reading settings: %w", err)
+		var none T
+		return none, fmt.Errorf("reading settings: %w", err)
 	}
-	return Decode(path, data)
+	return decode(path, data)
 }
 
 // Decode reads settings from data over the defaults and checks them.
 func Decode(source string, data []byte) (Config, error) {
 	cfg := Default()
+	err := decodeOver(source, data, &cfg, cfg.check)
+	return cfg, err
+}
+
+// decodeOver reads settings over those in cfg and checks them.
+func decodeOver(source string, data []byte, cfg any, check func(placer) finding.List) error {
 	doc, err := jsonc.Parse(source, data)
 	if err != nil {
-		return cfg, err
+		return err
 	}
-	if findings := doc.Decode(&cfg); len(findings) > 0 {
-		return cfg, findings.Err()
+	if findings := doc.Decode(cfg); len(findings) > 0 {
+		return findings.Err()
 	}
-	return cfg, cfg.check(doc.Place).Err()
+	return check(doc.Place).Err()
 }
--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -1,11 +1,8 @@
 package config
 
 import (
-	"fmt"
-	"os"
 	"time"
 
-	"sassafrasplank.example/sassafrasplank/internal/common/jsonc"
 	"sassafrasplank.example/sassafrasplank/pkg/finding"
 )
 
@@ -186,25 +183,13 @@
 
 // LoadRouted reads and checks a settings file. All findings are returned
 // together as a *finding.Error.
-func LoadRouted(path string) (Routed, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Routed{}, fmt.Errorf("reading settings: %w", err)
-	}
-	return DecodeRouted(path, data)
-}
+func LoadRouted(path string) (Routed, error) { return load(path, DecodeRouted) }
 
 // DecodeRouted reads settings from data over the defaults and checks them.
 func DecodeRouted(source string, data []byte) (Routed, error) {
 	cfg := DefaultRouted()
-	doc, err := jsonc.Parse(source, data)
-	if err != nil {
-		return cfg, err
-	}
-	if findings := doc.Decode(&cfg); len(findings) > 0 {
-		return cfg, findings.Err()
-	}
-	return cfg, cfg.check(doc.Place).Err()
+	err := decodeOver(source, data, &cfg, cfg.check)
+	return cfg, err
 }
 
 func (c *Routed) check(place placer) finding.List {
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -23,6 +23,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/lease"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/operator"
 	"sassafrasplank.example/sassafrasplank/internal/peer"
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/rollout"
@@ -319,8 +320,8 @@
 	callers := h.Callers(h.gateway, h.stopping.Load)
 	internal := echo.New()
 	internal.HideBanner, internal.HidePort = true, true
-	internal.GET("/readyz", h.serveReady)
-	internal.GET("/metrics", h.serveMetrics)
+	internal.GET("/readyz", operator.Readiness(h.ready))
+	internal.GET("/metrics", operator.Metrics(h.metrics))
 	var listeners []*listener
 	for _, l := range []struct {
 		address string
@@ -341,20 +342,6 @@
 	return listeners, nil
 }
 
-func (h *RoutedHost) serveReady(c echo.Context) error {
-	if !h.ready() {
-		return c.String(http.StatusServiceUnavailable, "not ready\n")
-	}
-	return c.String(http.StatusOK, "ready\n")
-}
-
-func (h *RoutedHost) serveMetrics(c echo.Context) error {
-	c.Response().Header().Set("Content-Type", "application/json")
-	c.Response().WriteHeader(http.StatusOK)
-	metrics.WriteJSONOnce(h.metrics, c.Response())
-	return nil
-}
-
 // stop ends in order: first unready, then no new connections, then the running
 // requests to their end, at last the ledger.
 func (h *RoutedHost) stop(hasten context.Context, listeners []*listener) {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -70,8 +70,8 @@
 	e.HidePort = true
 	e.HTTPErrorHandler = handleError
 	e.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	e.GET("/readyz", s.ready)
-	e.GET("/metrics", s.metrics)
+	e.GET("/readyz", Readiness(s.Ready))
+	e.GET("/metrics", Metrics(s.Metrics))
 	admin := e.Group("/admin/v1", s.authorize)
 	admin.GET("/records", s.list)
 	admin.GET("/records/:kind/:name", s.get)
@@ -83,20 +83,6 @@
 	return e
 }
 
-func (s *Server) ready(c echo.Context) error {
-	if !s.Ready() {
-		return c.String(http.StatusServiceUnavailable, "not ready\n")
-	}
-	return c.String(http.StatusOK, "ready\n")
-}
-
-func (s *Server) metrics(c echo.Context) error {
-	c.Response().Header().Set("Content-Type", "application/json")
-	c.Response().WriteHeader(http.StatusOK)
-	metrics.WriteJSONOnce(s.Metrics, c.Response())
-	return nil
-}
-
 // authorize finds the operator of a key. Operators' keys are apart from those
 // of callers.
 func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
