--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -101,19 +101,24 @@
 	mostHaste = 2
 )
 
-// atOnce returns how many of the holders of a model swap at the same time.
-func (p *Plan) atOnce(elapsed time.Duration, holders, left int) int {
+// atOnce returns how many of the holders of a model swap at the same time. Each
+// of due is since when one of the targets left is behind.
+func (p *Plan) atOnce(now time.Time, holders int, due []time.Time) int {
 	usual := max(1, int(math.Ceil(p.AtOnce*float64(holders))))
 	took := p.took
 	if took == 0 {
 		took = firstTook
 	}
-	rest := p.Within - elapsed
-	if rest <= took {
-		return mostHaste * usual
+	slices.SortFunc(due, time.Time.Compare)
+	needed := usual
+	for i, since := range due {
+		rest := p.Within - now.Sub(since)
+		if rest <= took {
+			return mostHaste * usual
+		}
+		needed = max(needed, int(math.Ceil(float64(i+1)*took.Seconds()/rest.Seconds())))
 	}
-	needed := int(math.Ceil(float64(left) * took.Seconds() / rest.Seconds()))
-	return min(max(usual, needed), mostHaste*usual)
+	return min(needed, mostHaste*usual)
 }
 
 // Order is one order that is due.
@@ -144,6 +149,27 @@
 	return p.close(now) || changed
 }
 
+// order sorts the targets that wait for their swap. Those with the newest weights
+// have the least cached that is of use and go first, until the time of those with
+// the oldest weights is needed in full.
+func (p *Plan) order(now time.Time, waiting []fleet.Target, n Named, atOnce int) {
+	slices.SortStableFunc(waiting, func(a, b fleet.Target) int {
+		return cmp.Compare(b.Versions[n.Model], a.Versions[n.Model])
+	})
+	oldest := waiting[len(waiting)-1].Versions[n.Model]
+	count := 0
+	for _, t := range waiting {
+		if t.Versions[n.Model] == oldest {
+			count++
+		}
+	}
+	rest := p.Within - now.Sub(n.BehindSince(oldest))
+	rounds := (count+atOnce-1)/atOnce + 1
+	if rest <= time.Duration(rounds)*max(p.took, firstTook) {
+		slices.Reverse(waiting)
+	}
+}
+
 // close takes targets out of use that have drained long enough, those that were
 // chosen first.
 func (p *Plan) close(now time.Time) bool {
@@ -211,8 +237,8 @@
 // choose takes further targets out of use.
 func (p *Plan) choose(now time.Time, targets []fleet.Target, n Named) bool {
 	var waiting []fleet.Target
+	var due []time.Time
 	holders, swapping := 0, 0
-	since := n.Since
 	for _, t := range targets {
 		if _, holds := t.Versions[n.Model]; !holds {
 			continue
@@ -221,6 +247,7 @@
 		if !behind(t, n) {
 			continue
 		}
+		due = append(due, n.BehindSince(t.Versions[n.Model]))
 		if s := p.swaps[t.ID]; s != nil {
 			if s.ordered.IsZero() {
 				s.version = max(s.version, n.Version)
@@ -229,20 +256,14 @@
 			continue
 		}
 		waiting = append(waiting, t)
-		if behindSince := n.BehindSince(t.Versions[n.Model]); behindSince.Before(since) {
-			since = behindSince
-		}
 	}
-	atOnce := p.atOnce(now.Sub(since), holders, len(waiting)+swapping)
+	atOnce := p.atOnce(now, holders, due)
 	p.loads = max(p.Loads, atOnce)
 	room := atOnce - swapping
 	if room <= 0 || len(waiting) == 0 {
 		return false
 	}
-	// Those with the oldest weights have the least time left.
-	slices.SortStableFunc(waiting, func(a, b fleet.Target) int {
-		return cmp.Compare(a.Versions[n.Model], b.Versions[n.Model])
-	})
+	p.order(now, waiting, n, atOnce)
 	for _, t := range waiting[:min(room, len(waiting))] {
 		p.swaps[t.ID] = &swap{model: n.Model, version: n.Version, chosen: now}
 	}
