--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,7 @@
 	suspects retry.Suspects
 	budgets  map[string]*retry.Budget
 	weights  map[string]*weights
+	// swapping are the targets that swap their weights or are about to.
 	swapping map[string]bool
 	// lostInARow is how many times AvoidFor each target was avoided last since it
 	// has answered.
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -216,6 +216,23 @@
 	}
 }
 
+// A target that was drained before its swap gets long work again after it.
+func TestSwappedTargetsGetLongWork(t *testing.T) {
+	w := newWorld(t, stream(1, 2, io.EOF))
+	w.SetVersion(letter, 2)
+	w.SetSwapping(nil, []string{"e1"})
+	w.SetSwapping([]string{"e1"}, nil)
+	w.Fleet.Put(fleet.Target{ID: "e1", Service: loom, Address: "e1:1", Slots: 16, Versions: map[string]int64{letter: 2}})
+	w.TargetsChanged()
+	w.SetSwapping(nil, nil)
+	long := request(routing.Stream, 1)
+	long.AnswerTokens = w.Config.Placement.LongTokens + 1
+	w.serve(long)
+	if diff := cmp.Diff([]string{"e1"}, w.targets.targets()); diff != "" {
+		t.Errorf("targets (-want +got):\n%s", diff)
+	}
+}
+
 // Work begins on older weights only for a time, counted from the first version
 // that they are behind.
 func TestOldWeightsAreUsedForATime(t *testing.T) {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -82,8 +82,7 @@
 		}
 		g.board.Report(now, t.ID, placement.LoadReport{Versions: versions, Leaving: t.Leaving, Incarnation: t.Started})
 		if g.swapping[t.ID] && g.upToDate(t) {
-			g.board.Resume(t.ID)
-			delete(g.swapping, t.ID)
+			g.swapped(t.ID)
 		}
 	}
 	g.noteVersions(now, targets)
@@ -160,25 +159,29 @@
 func (g *Gateway) SetSwapping(closed, draining []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.Clock.Now()
+	until := g.Clock.Now().Add(swapWithin)
 	for id := range g.swapping {
-		if !slices.Contains(closed, id) {
-			g.board.Resume(id)
-			delete(g.swapping, id)
+		if !slices.Contains(closed, id) && !slices.Contains(draining, id) {
+			g.swapped(id)
 		}
-		g.board.Drain(id, time.Time{})
+	}
+	for _, id := range draining {
+		g.swapping[id] = true
+		g.board.Drain(id, until)
 	}
 	for _, id := range closed {
 		if t, ok := g.Fleet.Find(id); ok && g.upToDate(t) {
 			continue
 		}
-		if !g.swapping[id] {
-			g.board.Avoid(id, now.Add(swapWithin))
-			g.swapping[id] = true
-		}
-	}
-	for _, id := range draining {
-		g.board.Drain(id, now.Add(swapWithin))
+		g.swapping[id] = true
+		g.board.Avoid(id, until)
 	}
 	g.Log.Info().Str("part", "weights").Strs("closed", closed).Strs("draining", draining).Msg("weights: targets swap")
 }
+
+// swapped gives a target work of any length again. The lock must be held.
+func (g *Gateway) swapped(id string) {
+	g.board.Resume(id)
+	g.board.Drain(id, time.Time{})
+	delete(g.swapping, id)
+}
