--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -169,7 +169,7 @@
 		PrefillTokensPerSecond: 60_000,
 		TokenGap:               Of(4 * time.Millisecond),
 		PlainRate:              60,
-		MemoryShare:            0.75,
+		MemoryShare:            0.85,
 		MemoryStep:             0.03,
 		StopDelay:              Of(3 * time.Second),
 		StopWithin:             Of(7 * time.Second),
