--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -158,7 +158,6 @@
 func (r *run) unsent(err error) {
 	var broken *BrokenError
 	if errors.As(err, &broken) && !broken.Sent {
-		r.sends--
 		r.runs--
 	}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -20,10 +20,8 @@
 	sink work.Sink
 	// request is what placement knows of the work.
 	request placement.Request
-	// sends counts the attempts whose request may have reached a target, runs
-	// those that may have run there.
-	sends int
-	runs  int
+	// runs counts the attempts that may have run on a target.
+	runs int
 	// tries counts all attempts, also those that reached nobody.
 	tries int
 	// begun is set once the caller has the beginning of a stream.
@@ -118,7 +116,6 @@
 	defer r.g.end(at)
 	dog := newWatchdog(r.silence(at), func() { cancel(errSilent) })
 	defer dog.stop()
-	r.sends++
 	r.runs++
 	reply, err := r.g.Targets.Send(ctx, r.call(at))
 	if err != nil {
