Free parts of replaced weights once

Ruled out: that freeing fails (calls shrink from 200 parts to one or two). Test that failed before: TestPartsAreFreedOnce.

--- a/internal/gateway/clean.go
+++ b/internal/gateway/clean.go
@@ -75,7 +75,7 @@
 
 // freeing is one call that frees parts.
 type freeing struct {
-	address      string
+	store        *cacheStore
 	epoch, until int64
 	parts        []PartName
 }
@@ -84,22 +84,38 @@
 // the host that holds the lease, for which it must hold for within.
 func (g *Gateway) Clean(ctx context.Context, within time.Duration) {
 	for _, f := range g.freeings(within) {
-		err := g.Freer.FreeParts(ctx, f.address, f.epoch, f.until, f.parts)
-		g.Log.Info().Str("part", "stores").Str("address", f.address).Int64("epoch", f.epoch).Int("parts", len(f.parts)).
+		err := g.Freer.FreeParts(ctx, f.store.spec.Address, f.epoch, f.until, f.parts)
+		if err == nil {
+			g.freed(f)
+		}
+		g.Log.Info().Str("part", "stores").Str("address", f.store.spec.Address).Int64("epoch", f.epoch).Int("parts", len(f.parts)).
 			Err(err).Msg("stores: parts of replaced weights freed")
 	}
 }
 
+// freed forgets parts that a store has freed, as the events that tell so may be
+// lost.
+func (g *Gateway) freed(f freeing) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if f.store.epoch != f.epoch {
+		return
+	}
+	for _, part := range f.parts {
+		f.store.apply(CacheEvent{Removed: true, Wall: part.Wall, Part: part.Part})
+	}
+}
+
 func (g *Gateway) freeings(within time.Duration) []freeing {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.Clock.Now()
+	now, steady := g.Clock.Now(), g.Steady.Now()
 	var list []freeing
 	for _, s := range g.stores {
-		if !s.reads(g.Steady.Now()) {
+		if !s.reads(steady) {
 			continue
 		}
-		f := freeing{address: s.spec.Address, epoch: s.epoch, until: s.clock + within.Milliseconds()}
+		f := freeing{store: s, epoch: s.epoch, until: s.clock + (steady.Sub(s.asOf) + within).Milliseconds()}
 		for _, held := range s.parts {
 			if len(f.parts) < freeBatch && g.obsolete(now, held.wall) {
 				f.parts = append(f.parts, PartName{Wall: held.wall, Part: held.part})
--- a/internal/gateway/stores_test.go
+++ b/internal/gateway/stores_test.go
@@ -158,17 +158,43 @@
 	}
 }
 
-type fakeFreer struct{ freed []PartName }
+type fakeFreer struct {
+	freed []PartName
+	until int64
+	err   error
+}
 
-func (f *fakeFreer) FreeParts(_ context.Context, _ string, _, _ int64, parts []PartName) error {
+func (f *fakeFreer) FreeParts(_ context.Context, _ string, _, until int64, parts []PartName) error {
 	f.freed = append(f.freed, parts...)
-	return errors.New("lost")
+	f.until = until
+	return f.err
+}
+
+// Parts that were freed aren't freed again, whether or not their event comes;
+// the end of a call counts from now and not from the store's last answer.
+func TestPartsAreFreedOnce(t *testing.T) {
+	g, s, c := newStoreWorld(t)
+	freer := &fakeFreer{}
+	g.Freer = freer
+	g.SetVersion("m", 2)
+	g.Fleet.Put(fleet.Target{ID: "e1", Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 2}})
+	g.TargetsChanged()
+	c.now = c.now.Add(obsoleteFor)
+	g.applyStore("s", s, told(7, 9000, whole(sharedWall)))
+	c.now = c.now.Add(time.Second)
+	g.Clean(context.Background(), 600*time.Millisecond)
+	if want := int64(9000 + 1000 + 600); freer.until != want {
+		t.Errorf("the call ends at %d, want %d", freer.until, want)
+	}
+	if g.Obsolete() || s.used != 0 {
+		t.Errorf("after the call: obsolete %t, %d tokens used", g.Obsolete(), s.used)
+	}
 }
 
 // Parts are freed only once no target has held their weights for a while.
 func TestOnlyObsoletePartsAreFreed(t *testing.T) {
 	g, s, c := newStoreWorld(t)
-	freer := &fakeFreer{}
+	freer := &fakeFreer{err: errors.New("lost")}
 	g.Freer = freer
 	g.applyStore("s", s, told(7, 5000, whole(sharedWall)))
 	g.SetVersion("m", 2)
