--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -116,6 +116,7 @@
 }
 
 func TestReturnTargets(t *testing.T) {
+	t.Parallel()
 	eachDeployment(t, false, func(t *testing.T, d deployment, name string) {
 		_, mine := runPolicy(d, returnScenario(d), name, knobs{})
 		_, base := runPolicy(d, returnScenario(d), "leastLoaded", knobs{})
@@ -126,6 +127,7 @@
 }
 
 func TestCrestTargets(t *testing.T) {
+	t.Parallel()
 	eachDeployment(t, true, func(t *testing.T, d deployment, name string) {
 		w, _ := runPolicy(d, crestScenario(d), name, knobs{})
 		calm := w.figures(between(10*time.Second, crestFrom, true))
@@ -140,6 +142,7 @@
 }
 
 func TestHeadOfLineTargets(t *testing.T) {
+	t.Parallel()
 	eachDeployment(t, true, func(t *testing.T, d deployment, name string) {
 		mixed, _ := runPolicy(d, headOfLineScenario(d, true), name, knobs{})
 		alone, _ := runPolicy(d, headOfLineScenario(d, false), name, knobs{})
@@ -158,11 +161,13 @@
 }
 
 func TestSlowTargetTargets(t *testing.T) {
+	t.Parallel()
 	eachDeployment(t, true, func(t *testing.T, d deployment, name string) { checkSlowTarget(t, d, name, usualLoad) })
 }
 
 // The load at which the check was first made.
 func TestSlowTargetHeavyTargets(t *testing.T) {
+	t.Parallel()
 	for _, d := range deployments {
 		for _, name := range []string{"ours", "pool"} {
 			t.Run(d.name+"/"+name, func(t *testing.T) {
