Notice the return of the table service early

Cause: after an outage that hit one host only, a removal from the list of targets was held for two seconds counted from the first answer of the service.

A follower whose service is away now asks without waiting for a change and with a short time; a removal behind the first answer counts after 1.5 s by itself.

Ruled out: the peers' relay (it brought the rows at 25.53 s and the host is not away any more then); the feed (all other hosts dropped the target at 26.22 s).

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -15,6 +15,15 @@
 // register again, from the service's contract.
 const returnGrace = 2 * time.Second
 
+// removalKept is how long a removal that was read after the first answer of the
+// returned service may still turn out to be a late one: the two seconds in which
+// a target that leaves may be sent requests, less the time these travel.
+const removalKept = 1500 * time.Millisecond
+
+// firstAnswer is the time in which the first answer of the returned service is
+// taken in. What it removes may have lapsed while the service was away.
+const firstAnswer = 50 * time.Millisecond
+
 // Target is one process that runs requests.
 type Target struct {
 	ID            string
@@ -33,9 +42,12 @@
 type View struct {
 	mu      sync.Mutex
 	targets map[string]Target
+	// missing holds the targets that may register again, and when each removal
+	// was read.
 	missing map[string]time.Time
 	// graceUntil is set while the table service has just returned.
 	graceUntil time.Time
+	backAt     time.Time
 	away       bool
 	known      bool
 	changed    chan struct{}
@@ -78,7 +90,7 @@
 	defer v.mu.Unlock()
 	if v.away {
 		v.away = false
-		v.graceUntil = now.Add(returnGrace)
+		v.backAt, v.graceUntil = now, now.Add(returnGrace)
 	}
 }
 
@@ -141,14 +153,19 @@
 func (v *View) Expire(now time.Time) (gone []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.away || now.Before(v.graceUntil) {
+	if v.away {
 		return nil
 	}
-	for id := range v.missing {
+	for id, read := range v.missing {
+		late := read.After(v.backAt.Add(firstAnswer)) && !now.Before(read.Add(removalKept))
+		if now.Before(v.graceUntil) && !late {
+			continue
+		}
+		delete(v.missing, id)
 		delete(v.targets, id)
 		gone = append(gone, id)
 	}
-	clear(v.missing)
+	slices.Sort(gone)
 	if len(gone) > 0 {
 		v.tell()
 	}
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -57,6 +57,27 @@
 	wantIDs(t, v, "b", "c")
 }
 
+// A removal behind the first answer of the returned service is more likely to be
+// a target that leaves, which may be sent requests for two seconds only.
+func TestRemovalAfterTheReturnIsBoundedByItself(t *testing.T) {
+	v, back := fleet.NewView(), time.Unix(100, 0)
+	for _, id := range []string{"first", "later", "last"} {
+		v.Put(fleet.Target{ID: id})
+	}
+	v.Away()
+	v.Back(back)
+	v.Drop(back, "first")
+	v.Drop(back.Add(100*time.Millisecond), "later")
+	v.Expire(back.Add(1500 * time.Millisecond))
+	wantIDs(t, v, "first", "last", "later")
+	if diff := cmp.Diff([]string{"later"}, v.Expire(back.Add(1700*time.Millisecond))); diff != "" {
+		t.Errorf("expired after its own time (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"first"}, v.Expire(back.Add(2100*time.Millisecond))); diff != "" {
+		t.Errorf("expired after the return's time (-want +got):\n%s", diff)
+	}
+}
+
 func TestWhatAnEarlierProcessToldLateIsIgnored(t *testing.T) {
 	v := fleet.NewView()
 	v.Put(fleet.Target{ID: "a", Started: 20, Address: "new"})
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -17,6 +17,11 @@
 	// followRetry is the pause after a call that failed. It bounds how much
 	// later than the return of the service a change is heard of.
 	followRetry = 250 * time.Millisecond
+	// probeTimeout bounds a call to a service that gave no answer: a connection
+	// whose first packet was lost tries again only after a second. Every
+	// probesUntilSlow-th call has all of its time, in case the service is slow.
+	probeTimeout    = 500 * time.Millisecond
+	probesUntilSlow = 4
 	// relayEvery is the time between two looks at what peers know.
 	relayEvery = 100 * time.Millisecond
 	// relayAfter is how long a peer may be ahead before it is asked, as the
@@ -70,6 +75,8 @@
 	after   int64
 	loaded  bool
 	away    bool
+	// probes counts the calls since the service gave no answer.
+	probes int
 	// aheadSince is since when a peer has known a newer row.
 	aheadSince time.Time
 }
@@ -96,12 +103,22 @@
 
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
-	loaded, after := f.loaded, f.after
+	loaded, after, wait := f.loaded, f.after, f.Wait
+	if f.away {
+		// A call that waits for a change would tell of the return too late.
+		wait = 0
+		f.probes++
+		if f.probes%probesUntilSlow != 0 {
+			probe, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			ctx = probe
+		}
+	}
 	f.mu.Unlock()
 	if !loaded {
 		return f.load(ctx)
 	}
-	page, err := f.Client.Feed(ctx, f.Table, after, f.Wait)
+	page, err := f.Client.Feed(ctx, f.Table, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("after", after).
 			Msg("follower: history is gone, reading the table again")
@@ -280,7 +297,7 @@
 func (f *Follower) answered() {
 	f.mu.Lock()
 	was := f.away
-	f.away = false
+	f.away, f.probes = false, 0
 	f.mu.Unlock()
 	if !was {
 		return
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -208,6 +209,56 @@
 	})
 }
 
+// The return is noticed within the time of one call and the pause after it,
+// although nothing changes, and also by a call whose first packet was lost.
+func TestFollowerNoticesTheReturn(t *testing.T) {
+	for silent := time.Second; silent < 8*time.Second; silent += 90 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			feed := &silentFeed{fakeFeed: fakeFeed{rows: map[string]platform.Row{}}}
+			var back time.Time
+			f := &platform.Follower{
+				Client: feed, Table: "t", Wait: 10 * time.Second, Clock: clock.System{}, Apply: func([]platform.Row, bool) {},
+				Log:      &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+				Regained: func() { back = time.Now() },
+			}
+			ctx, end := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- f.Run(ctx) }()
+			time.Sleep(time.Second)
+			feed.silent.Store(true)
+			time.Sleep(2*(f.Wait+callTime) + silent) // The call before and that which fails have ended.
+			returned := time.Now()
+			feed.silent.Store(false)
+			time.Sleep(20 * time.Second)
+			if late := back.Sub(returned); back.IsZero() || late > callTime+300*time.Millisecond {
+				t.Errorf("after %s of silence the return is noticed after %s, want less than %s", silent, late, callTime+300*time.Millisecond)
+			}
+			end()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// silentFeed gives no answer at all to calls that begin while it is silent.
+type silentFeed struct {
+	fakeFeed
+
+	silent atomic.Bool
+}
+
+// callTime is the time beyond the wait after which the client gives up.
+const callTime = time.Second
+
+func (f *silentFeed) Feed(ctx context.Context, table string, after int64, wait time.Duration) (platform.Page, error) {
+	if f.silent.Load() {
+		_ = clock.Sleep(ctx, clock.System{}, wait+callTime)
+		return platform.Page{}, errAway
+	}
+	return f.fakeFeed.Feed(ctx, table, after, 10*wait)
+}
+
 // Rows that a peer tells late don't replace newer ones.
 func TestFollowerNeverGoesBack(t *testing.T) {
 	follow(t, false, func(f *fakeFeed, c *copyOf) {
