Apply the configuration's limits on header and idle time

Cause: header bytes, header time and idle time of callers were fixed (16 KiB, 10 s, 75 s); only the length of bodies followed the configuration. http.Server fixes its limits when it starts, so a listener of our own replaces its deadlines between requests, also those of connections that are idle already when a limit grows.

Ruled out: a server for each configuration, which would end the idle connections of the one before.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"sassafrasplank.example/sassafrasplank/internal/caller"
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/config"
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
@@ -307,15 +308,37 @@
 
 func (h *RoutedHost) ready() bool { return !h.stopping.Load() && h.gateway.Ready() }
 
-// callerHeaderBytes and callerIdle are the limits towards callers that the
-// server applies before a configuration is known. The idle time is longer than
-// any that operators ask for, so that callers end idle connections.
+// headerBytes is the most that is read of any header. What a configuration
+// allows callers is checked behind it and lies far below.
+const headerBytes = 256 << 10
+
+// The times of callers before a configuration is known, and of peers and
+// operators at any time: longer than the pauses of both.
 const (
-	callerHeaderBytes   = 16 << 10
-	callerHeaderTimeout = 10 * time.Second
-	callerIdle          = 75 * time.Second
+	firstHeaderTimeout = 10 * time.Second
+	firstIdleTimeout   = 75 * time.Second
 )
 
+func firstTimes() caller.Times {
+	return caller.Times{Header: firstHeaderTimeout, Idle: firstIdleTimeout}
+}
+
+// callerTimes returns the limits in force.
+func (h *RoutedHost) callerTimes() caller.Times {
+	times := firstTimes()
+	cfg := h.gateway.Routes()
+	if cfg == nil {
+		return times
+	}
+	if cfg.Limits.HeaderTimeout > 0 {
+		times.Header = cfg.Limits.HeaderTimeout
+	}
+	if cfg.Limits.IdleTimeout > 0 {
+		times.Idle = cfg.Limits.IdleTimeout
+	}
+	return times
+}
+
 func (h *RoutedHost) listen() ([]*listener, error) {
 	callers := h.Callers(h.gateway, h.stopping.Load)
 	internal := echo.New()
@@ -326,7 +349,13 @@
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-	}{{h.Config.Callers.Listen, callers}, {h.Config.Readiness.Listen, internal}, {h.Config.Metrics.Listen, internal}, {h.Config.Peers.Listen, h.group.Handler()}} {
+		times   func() caller.Times
+	}{
+		{h.Config.Callers.Listen, callers, h.callerTimes},
+		{h.Config.Readiness.Listen, internal, firstTimes},
+		{h.Config.Metrics.Listen, internal, firstTimes},
+		{h.Config.Peers.Listen, h.group.Handler(), firstTimes},
+	} {
 		socket, err := new(net.ListenConfig).Listen(context.Background(), "tcp", l.address)
 		if err != nil {
 			for _, open := range listeners {
@@ -334,10 +363,10 @@
 			}
 			return nil, fmt.Errorf("listening on %s: %w", l.address, err)
 		}
-		server := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: callerHeaderBytes,
-		}
-		listeners = append(listeners, &listener{socket: socket, server: server})
+		server := &http.Server{Handler: l.handler, ReadHeaderTimeout: firstHeaderTimeout, MaxHeaderBytes: headerBytes}
+		bounded := &caller.Listener{Listener: socket, Clock: h.Clock, Times: l.times}
+		bounded.Bind(server)
+		listeners = append(listeners, &listener{socket: bounded, server: server})
 	}
 	return listeners, nil
 }
