Take turns at the cache events of a target with more hosts than it hears

Cause: a target holds a bounded number of calls for events (12 on both sites) and refuses further ones. With more hosts than that each call is short now, and the pause after it leaves the places to others; no call is so short that it is charged. Hosts up to the bound wait as long as before.

--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -16,6 +16,12 @@
 	// cacheRetry is the pause after a call that failed, as calls that a target
 	// refuses are not free.
 	cacheRetry = 2 * time.Second
+	// shortWait is the least time that a target charges nothing for.
+	shortWait = 200 * time.Millisecond
+	// shortCycle is the time between two short calls of one host.
+	shortCycle = time.Second
+	// watcherShare is the part of the calls a target holds that short ones fill.
+	watcherShare = 0.75
 	// watchEvery is the time between two looks at which targets there are.
 	watchEvery = 500 * time.Millisecond
 )
@@ -79,6 +85,33 @@
 	watchers.Wait()
 }
 
+// watchPace returns how long a call for events waits and the pause after it. A
+// target holds a bounded number of calls; more hosts than that take turns.
+func (g *Gateway) watchPace(watchers int) (wait, pause time.Duration) {
+	if g.Hosts == nil || watchers <= 0 || g.Hosts() <= watchers {
+		return cacheWait, cachePause
+	}
+	cycle := time.Duration(float64(g.Hosts()) / (watcherShare * float64(watchers)) * float64(shortWait))
+	return shortWait, max(cycle, shortCycle) - shortWait
+}
+
+// watchersOf returns the number of calls for events a target of the service
+// holds, 0 if unknown.
+func (g *Gateway) watchersOf(service string) int {
+	cfg := g.Routes()
+	if cfg == nil {
+		return 0
+	}
+	s := cfg.Services[service]
+	switch {
+	case s.Engine != nil:
+		return s.Engine.Watchers
+	case s.Store != nil:
+		return s.Store.Watchers
+	}
+	return 0
+}
+
 func (g *Gateway) watchCache(ctx context.Context, caller CacheEventCaller, id string) {
 	var since, epoch int64
 	for ctx.Err() == nil {
@@ -86,8 +119,8 @@
 		if !ok {
 			return
 		}
-		pause := cachePause
-		events, err := caller.CacheEvents(ctx, t.Address, since, cacheWait)
+		wait, pause := g.watchPace(g.watchersOf(t.Service))
+		events, err := caller.CacheEvents(ctx, t.Address, since, wait)
 		if err != nil {
 			g.count("cacheEvents.failed")
 			pause = cacheRetry
--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -112,8 +112,8 @@
 	var since int64
 	lost := false
 	for ctx.Err() == nil {
-		pause := cachePause
-		events, err := caller.CacheEvents(ctx, s.spec.Address, since, cacheWait)
+		wait, pause := g.watchPace(s.spec.Watchers)
+		events, err := caller.CacheEvents(ctx, s.spec.Address, since, wait)
 		if err == nil {
 			g.applyStore(name, s, events)
 			since = events.Next
