Write log lines in pieces that a pipe takes whole

Cause: lines were joined to writes of 16 KiB and more. A write of several lines is now at most PIPE_BUF, 4,096 bytes.

Ruled out: the ring (each line is copied whole into it), the logger (the line's beginning and all lines after it are whole), the end of a process (it served on).

--- a/internal/common/logring/writer.go
+++ b/internal/common/logring/writer.go
@@ -9,8 +9,9 @@
 	"sync/atomic"
 )
 
-// batchBytes bounds the lines that are written together.
-const batchBytes = 16 << 10
+// batchBytes bounds the lines that are written together: PIPE_BUF of Linux, up
+// to which a pipe takes a write in one piece.
+const batchBytes = 4 << 10
 
 // Writer passes lines on over a bounded ring. Lines beyond it are dropped and
 // counted; the next line that is written is preceded by one that says how many.
@@ -59,21 +60,25 @@
 	for {
 		select {
 		case line := <-w.lines:
-			batch = append(batch, line...)
-			if len(batch) < batchBytes {
-				continue
+			if len(batch) > 0 && len(batch)+len(line) > batchBytes {
+				if err := w.flush(batch); err != nil {
+					return err
+				}
+				batch = batch[:0]
 			}
+			batch = append(batch, line...)
 		default:
+			return w.flush(batch)
 		}
-		if len(batch) == 0 {
-			return nil
-		}
-		if _, err := w.out.Write(batch); err != nil {
-			return fmt.Errorf("writing log lines: %w", err)
-		}
-		if len(w.lines) == 0 {
-			return nil
-		}
-		batch = batch[:0]
 	}
 }
+
+func (w *Writer) flush(batch []byte) error {
+	if len(batch) == 0 {
+		return nil
+	}
+	if _, err := w.out.Write(batch); err != nil {
+		return fmt.Errorf("writing log lines: %w", err)
+	}
+	return nil
+}
--- a/internal/common/logring/writer_test.go
+++ b/internal/common/logring/writer_test.go
@@ -34,16 +34,39 @@
 	}
 }
 
+// pipeBytes is PIPE_BUF: a longer write may be cut in the middle of a line.
+const pipeBytes = 4096
+
+// pipe notes the longest write that holds more than one line.
+type pipe struct {
+	bytes.Buffer
+
+	longest int
+}
+
+func (p *pipe) Write(b []byte) (int, error) {
+	if bytes.Count(b, []byte("\n")) > 1 {
+		p.longest = max(p.longest, len(b))
+	}
+	return p.Buffer.Write(b)
+}
+
 func TestLongBatchesAreSplit(t *testing.T) {
-	var out bytes.Buffer
+	var out pipe
 	w := logring.New(&out, 100)
-	line := strings.Repeat("x", 999) + "\n"
-	for range 100 {
+	want := ""
+	for i := range 100 {
+		line := strings.Repeat("x", 37*i) + "\n"
+		want += line
 		_, _ = w.Write([]byte(line))
 	}
+	_, _ = w.Write([]byte("beyond the ring\n"))
 	ctx, end := context.WithCancel(context.Background())
 	end()
-	if err := w.Run(ctx); err != nil || out.String() != strings.Repeat(line, 100) {
-		t.Errorf("%v, %d bytes, want 100,000", err, out.Len())
+	if err := w.Run(ctx); err != nil || !strings.HasSuffix(out.String(), want) {
+		t.Errorf("%v, got %d bytes, want %d behind those of the dropped line", err, out.Len(), len(want))
+	}
+	if out.longest > pipeBytes {
+		t.Errorf("a write of several lines has %d bytes, want at most %d", out.longest, pipeBytes)
 	}
 }
