Count the memory that the requests of peers hold

Cause: a host told its peers the number of its requests on a target, not their size, and took theirs to be as large as its own: an engine of short prompts looked full beside one long prompt, a full one looked empty to a host that ran nothing there. Hosts tell the tokens that their requests hold; those of a peer that doesn't tell are estimated as before. A refusal names its cause with the figures.

With the true sums the bound of 0.85 was too low, as parts that requests share are held once: it is 1.05 now.

Tests: TestMemoryOfPeersIsCounted, TestRefusalTellsWhy.

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -30,9 +30,11 @@
 
 	// PrefillTokensPerSecond is the usual rate at which an engine reads prompts.
 	PrefillTokensPerSecond float64 `json:"prefillTokensPerSecond"`
-	// MemoryShare is the part of an engine's memory that the most urgent requests
-	// may fill, and MemoryStep by how much less each lower priority may. Beyond
-	// it they are refused, so that those that run don't slow each other down.
+	// MemoryShare is the part of an engine's memory up to which the prompts and
+	// answers of the most urgent requests may add up, and MemoryStep by how much
+	// less those of each lower priority may. Beyond it they are refused, so that
+	// those that run don't slow each other down. It may be above 1, as parts that
+	// several requests share are held once.
 	MemoryShare float64 `json:"memoryShare"`
 	MemoryStep  float64 `json:"memoryStep"`
 	// TokenGap is the shortest usual time between two tokens of a stream.
@@ -169,7 +171,7 @@
 		PrefillTokensPerSecond: 60_000,
 		TokenGap:               Of(4 * time.Millisecond),
 		PlainRate:              60,
-		MemoryShare:            0.85,
+		MemoryShare:            1.05,
 		MemoryStep:             0.03,
 		StopDelay:              Of(3 * time.Second),
 		StopWithin:             Of(7 * time.Second),
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -96,7 +96,7 @@
 	}
 	for _, name := range d.targetNames(set) {
 		load := loads[name]
-		d.board.SetPeerLoad(now, name, placement.PeerLoad{Requests: load.Requests, PrefillTokens: load.PrefillTokens})
+		d.board.SetPeerLoad(now, name, placement.PeerLoad{Requests: load.Requests, PrefillTokens: load.PrefillTokens, HeldTokens: load.HeldTokens})
 	}
 	d.endLapsedJobs(now)
 	d.shareLimits(now)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -94,8 +95,8 @@
 	return prefix.Key(sum[:len(prefix.Key{})])
 }
 
-// choose places a request, or returns nil when no target can be used.
-func (g *Gateway) choose(req *placement.Request, w *work.Work) *attempt {
+// choose places a request, or tells why no target can be used.
+func (g *Gateway) choose(req *placement.Request, w *work.Work) (*attempt, string) {
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -106,11 +107,14 @@
 		at = g.chooseWeights(now, req, w)
 	}
 	if at == nil {
-		return nil
+		return nil, "no target holds weights that are still allowed"
+	}
+	if at.decision.Target == "" {
+		return nil, refusal(&at.decision, req)
 	}
 	t, ok := g.Fleet.Find(at.decision.Target)
 	if !ok {
-		return nil
+		return nil, "the target has just left"
 	}
 	at.target = t
 	req.Version = at.version
@@ -119,22 +123,36 @@
 		g.move(w, at)
 	}
 	at.ticket = g.board.Start(now, req, &at.decision)
-	return at
+	return at, ""
+}
+
+// refusal tells why a decision names no target, with the figures behind it.
+func refusal(d *placement.Decision, req *placement.Request) string {
+	switch d.Reason {
+	case placement.ReasonNoMemory:
+		return fmt.Sprintf("the emptiest one's memory would be %.2f full, at most %.2f is allowed", d.MemoryTaken, req.MemoryShare)
+	case placement.ReasonNoLongSlot:
+		return "none has room for long answers"
+	default:
+		return "none is listed, ready and sound"
+	}
 }
 
 // chooseWeights prefers the newest weights while they answer in time. Otherwise
-// the fastest target serves whose weights are still allowed, so that a swap doesn't crowd the first targets
-// that have finished it.
+// the fastest target serves whose weights are still allowed, so that a swap
+// doesn't crowd the first targets that have finished it. Where no target can be
+// used, it returns the last try.
 func (g *Gateway) chooseWeights(now time.Time, req *placement.Request, w *work.Work) *attempt {
 	model := g.model(w.Model)
 	versions := model.held
-	var best *attempt
+	var best, none *attempt
 	for _, version := range versions {
 		if !g.allowed(now, model, version) {
 			break
 		}
 		at := g.try(now, req, w, versionName(w.Model, version), version)
-		if at == nil {
+		if at.decision.Target == "" {
+			none = at
 			continue
 		}
 		if best == nil || at.decision.Chosen.Total() < best.decision.Chosen.Total() {
@@ -144,10 +162,14 @@
 			break
 		}
 	}
+	if best == nil {
+		return none
+	}
 	return best
 }
 
-// try asks the board for a target with one version of the weights.
+// try asks the board for a target with one version of the weights. Its decision
+// may name none.
 func (g *Gateway) try(now time.Time, req *placement.Request, w *work.Work, version string, number int64) *attempt {
 	at := &attempt{version: version, number: number}
 	req.Version = version
@@ -163,9 +185,6 @@
 		}
 	}
 	g.board.Place(now, req, &at.decision)
-	if at.decision.Target == "" {
-		return nil
-	}
 	return at
 }
 
--- /dev/null
+++ b/internal/gateway/attempt_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/routing"
+)
+
+// A refusal names its cause and the figures behind it.
+func TestRefusalTellsWhy(t *testing.T) {
+	for want, prepare := range map[string]func(g *Gateway){
+		"the emptiest one's memory would be 1.16 full, at most 1.05 is allowed": func(g *Gateway) {
+			g.board.SetPeerLoad(g.Clock.Now(), "e1", placement.PeerLoad{Requests: 3, HeldTokens: 10_500})
+		},
+		"none is listed, ready and sound": func(g *Gateway) {
+			g.board.Avoid("e1", g.Clock.Now().Add(longest))
+		},
+	} {
+		g, _, _ := newStoreWorld(t)
+		g.SetRoutes(&routing.Config{Version: 2, Services: map[string]routing.Service{
+			"loom": {Name: "loom", Engine: &routing.Engine{Slots: 16, CacheTokens: 10_000}},
+		}})
+		g.TargetsChanged()
+		prepare(g)
+		w := storeWork("w1")
+		req := g.placementRequest(w)
+		at, why := g.choose(&req, w)
+		if at != nil {
+			t.Errorf("placed on %s, want a refusal: %s", at.decision.Target, want)
+		}
+		if diff := cmp.Diff(want, why); diff != "" {
+			t.Errorf("cause (-want +got):\n%s", diff)
+		}
+	}
+}
+
+const longest = 1 << 40
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -147,11 +147,11 @@
 	return least + time.Duration(r.g.rng.Int64N(int64(least)+1))
 }
 
-func (r *run) noTarget() *failure.Error {
+func (r *run) noTarget(why string) *failure.Error {
 	if r.last != nil && r.runs > 0 {
 		return failure.MaybeRun(failure.TargetFailed, "no other target after: %v", r.last)
 	}
-	return failure.Busy(failure.NoTarget, r.retryAfter(), "no target of service %s can be used", r.work.Service)
+	return failure.Busy(failure.NoTarget, r.retryAfter(), "no target of service %s can be used: %s", r.work.Service, why)
 }
 
 // unsent takes back the count of an attempt that reached nobody.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -34,7 +34,7 @@
 		defer g.mu.Unlock()
 		for _, t := range g.Fleet.Targets() {
 			load := loads[t.ID]
-			g.board.SetPeerLoad(now, t.ID, placement.PeerLoad{Requests: load.Requests, PrefillTokens: load.PrefillTokens})
+			g.board.SetPeerLoad(now, t.ID, placement.PeerLoad{Requests: load.Requests, PrefillTokens: load.PrefillTokens, HeldTokens: load.HeldTokens})
 		}
 	})
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -81,14 +81,14 @@
 	begin := r.g.Clock.Now()
 	patience := min(r.work.Route.Goal, r.work.Deadline.Sub(begin)) / patienceShare
 	for {
-		at := r.g.choose(&r.request, r.work)
+		at, why := r.g.choose(&r.request, r.work)
 		if at != nil {
 			r.tries++
 			r.logPlacement(at)
 			return at, nil
 		}
 		if r.g.Clock.Now().Sub(begin) >= patience {
-			return nil, r.noTarget()
+			return nil, r.noTarget(why)
 		}
 		if clock.Sleep(ctx, r.g.Clock, placePause) != nil {
 			return nil, r.ended(ctx)
--- a/internal/gateway/stores_test.go
+++ b/internal/gateway/stores_test.go
@@ -69,7 +69,8 @@
 
 func (g *Gateway) placed(w *work.Work) *attempt {
 	req := g.placementRequest(w)
-	return g.choose(&req, w)
+	at, _ := g.choose(&req, w)
+	return at
 }
 
 func told(epoch, clock int64, events ...CacheEvent) CacheEvents {
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -50,6 +50,8 @@
 	Requests      int
 	PrefillTokens float64
 	Slowness      float64
+	// HeldTokens are those of the prompts and answers of the requests.
+	HeldTokens float64
 }
 
 // Suspect is a request that ran on targets that died.
@@ -78,7 +80,7 @@
 	}
 	for _, l := range r.Loads {
 		encoded.Loads = append(encoded.Loads, &wire.TargetLoad{
-			Target: l.Target, Requests: int32(l.Requests), PrefillTokens: float32(l.PrefillTokens), Slowness: float32(l.Slowness),
+			Target: l.Target, Requests: int32(l.Requests), PrefillTokens: float32(l.PrefillTokens), Slowness: float32(l.Slowness), HeldTokens: float32(l.HeldTokens),
 		})
 	}
 	for _, s := range r.Suspects {
@@ -129,11 +131,11 @@
 
 func (r *Report) decodeLoads(loads []*wire.TargetLoad) error {
 	for _, l := range loads {
-		if len(l.Target) > maxNameBytes || l.Requests < 0 || l.PrefillTokens < 0 {
+		if len(l.Target) > maxNameBytes || l.Requests < 0 || l.PrefillTokens < 0 || l.HeldTokens < 0 {
 			return fmt.Errorf("peer report: load of %.40q is out of range", l.Target)
 		}
 		r.Loads = append(r.Loads, TargetLoad{
-			Target: l.Target, Requests: int(l.Requests), PrefillTokens: float64(l.PrefillTokens), Slowness: float64(l.Slowness),
+			Target: l.Target, Requests: int(l.Requests), PrefillTokens: float64(l.PrefillTokens), Slowness: float64(l.Slowness), HeldTokens: float64(l.HeldTokens),
 		})
 	}
 	return nil
--- a/internal/peer/report_test.go
+++ b/internal/peer/report_test.go
@@ -15,7 +15,7 @@
 	return Report{
 		Revision: 3, HighestRevision: 4, ContactAge: 2 * time.Second, ContactKnown: true, RequestsInFlight: 5, Ready: true,
 		Demands:  []AccountDemand{{Account: "orders", TokensPerSecond: 10, InFlight: 2}},
-		Loads:    []TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1}},
+		Loads:    []TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1, HeldTokens: 700}},
 		Suspects: []Suspect{{Fingerprint: "f00d", Crashes: 1, Age: time.Second}},
 	}
 }
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -22,10 +22,11 @@
 	"sassafrasplank.example/sassafrasplank/pkg/record"
 )
 
-// around stands for what surrounds a group: a report at its bounds, records that
+// around stands for what surrounds a group: a report of fixed size, records that
 // don't change, and the list of all hosts.
 type around struct {
-	hosts []platform.Host
+	hosts             []platform.Host
+	accounts, targets int
 }
 
 func (a *around) Hosts(context.Context) ([]platform.Host, error) { return a.hosts, nil }
@@ -42,11 +43,11 @@
 
 func (a *around) PeerReport() Report {
 	report := Report{}
-	for i := range 16 {
+	for i := range a.accounts {
 		report.Demands = append(report.Demands, AccountDemand{Account: fmt.Sprintf("account-%03d", i), TokensPerSecond: 1000, InFlight: 3})
 	}
-	for i := range 24 {
-		report.Loads = append(report.Loads, TargetLoad{Target: fmt.Sprintf("engine-%05d", i), Requests: 2, PrefillTokens: 4000, Slowness: 1})
+	for i := range a.targets {
+		report.Loads = append(report.Loads, TargetLoad{Target: fmt.Sprintf("engine-%05d", i), Requests: 2, PrefillTokens: 4000, Slowness: 1, HeldTokens: 9000})
 	}
 	return report
 }
@@ -69,58 +70,80 @@
 	return n, err
 }
 
-// BenchmarkTraffic runs groups on loopback and counts what their own calls send
-// and receive, which over all hosts is half of what each one's sockets carry.
+// BenchmarkTraffic runs groups as they are before a pool with a home.
 func BenchmarkTraffic(b *testing.B) {
 	for _, n := range []int{3, 9, 27} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
-			var bytes atomic.Int64
-			dialer := &net.Dialer{}
-			client := &http.Client{Transport: &http.Transport{
-				MaxIdleConns: 64 * n, IdleConnTimeout: 10 * time.Second,
-				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-					conn, err := dialer.DialContext(ctx, network, address)
-					if err != nil {
-						return nil, err
-					}
-					return &countedConn{Conn: conn, bytes: &bytes}, nil
-				},
-			}}
-			ctx, cancel := context.WithCancel(context.Background())
-			surroundings := &around{}
-			var groups []*Group
-			for i := range n {
-				g := &Group{
-					Self:   membership.Member{Name: fmt.Sprintf("host-%03d", i), FailureDomain: "west", Incarnation: 1},
-					Params: membership.Params{SuspectAfter: 5 * time.Second, ForgetAfter: time.Minute}, Interval: time.Second, FanOut: 2,
-					HostList: surroundings, Clock: clock.System{}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
-					HTTP: client, Local: surroundings, Records: surroundings, Ready: func() bool { return true },
-				}
-				server := httptest.NewUnstartedServer(nil)
-				g.Self.URL = "http://" + server.Listener.Addr().String()
-				g.Init()
-				server.Config.Handler = g.Handler()
-				server.Start()
-				defer server.Close()
-				surroundings.hosts = append(surroundings.hosts, platform.Host{Name: g.Self.Name, URL: g.Self.URL, Kind: "entry"})
-				groups = append(groups, g)
-			}
-			for _, g := range groups {
-				go func() { _ = g.Run(ctx) }()
+			measureTraffic(b, n, time.Second, 2, &around{accounts: 16, targets: 24})
+		})
+	}
+}
+
+// BenchmarkRoutedTraffic runs groups as they are for routed requests: of the two
+// deployments, of one twice as large and of the next size, where a report has
+// its full length.
+func BenchmarkRoutedTraffic(b *testing.B) {
+	for _, size := range []struct{ hosts, targets int }{{8, 15}, {16, 30}, {61, 64}} {
+		b.Run(fmt.Sprintf("hosts=%d/targets=%d", size.hosts, size.targets), func(b *testing.B) {
+			measureTraffic(b, size.hosts, 100*time.Millisecond, 3, &around{targets: size.targets})
+		})
+	}
+}
+
+// measureTraffic runs n groups on loopback and counts what their own calls send
+// and receive, which over all hosts is half of what each one's sockets carry.
+func measureTraffic(b *testing.B, n int, interval time.Duration, fanOut int, surroundings *around) {
+	b.Helper()
+	var bytes, calls atomic.Int64
+	dialer := &net.Dialer{}
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConns: 64 * n, MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
 			}
-			time.Sleep(15 * time.Second)
-			bytes.Store(0)
-			before := processTime(b)
-			const measured = 5 * time.Second
-			time.Sleep(measured)
-			perHost := float64(n) * measured.Seconds()
-			b.ReportMetric(2*float64(bytes.Load())/perHost, "bytes/host-s")
-			b.ReportMetric(float64((processTime(b)-before).Microseconds())/perHost, "cpu-µs/host-s")
-			b.ReportMetric(float64(groups[0].Hosts()), "live")
-			cancel()
-			client.CloseIdleConnections()
+			return &countedConn{Conn: conn, bytes: &bytes}, nil
+		},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var groups []*Group
+	for i := range n {
+		g := &Group{
+			Self:   membership.Member{Name: fmt.Sprintf("host-%03d", i), FailureDomain: "west", Incarnation: 1},
+			Params: membership.Params{SuspectAfter: 5 * time.Second, ForgetAfter: time.Minute}, Interval: interval, FanOut: fanOut,
+			HostList: surroundings, Clock: clock.System{}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+			HTTP: client, Local: surroundings, Records: surroundings, Ready: func() bool { return true },
+		}
+		server := httptest.NewUnstartedServer(nil)
+		g.Self.URL = "http://" + server.Listener.Addr().String()
+		g.Init()
+		handler := g.Handler()
+		server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			handler.ServeHTTP(w, r)
 		})
+		server.Start()
+		defer server.Close()
+		surroundings.hosts = append(surroundings.hosts, platform.Host{Name: g.Self.Name, URL: g.Self.URL, Kind: "entry"})
+		groups = append(groups, g)
+	}
+	for _, g := range groups {
+		go func() { _ = g.Run(ctx) }()
 	}
+	time.Sleep(15 * time.Second)
+	bytes.Store(0)
+	calls.Store(0)
+	before := processTime(b)
+	const measured = 5 * time.Second
+	time.Sleep(measured)
+	perHost := float64(n) * measured.Seconds()
+	b.ReportMetric(2*float64(bytes.Load())/perHost, "bytes/host-s")
+	b.ReportMetric(float64(calls.Load())/perHost, "calls/host-s")
+	b.ReportMetric(float64((processTime(b)-before).Microseconds())/perHost, "cpu-µs/host-s")
+	b.ReportMetric(float64(groups[0].Hosts()), "live")
+	cancel()
+	client.CloseIdleConnections()
 }
 
 func processTime(b *testing.B) time.Duration {
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -94,6 +94,7 @@
 			sum := loads[l.Target]
 			sum.Requests += l.Requests
 			sum.PrefillTokens += l.PrefillTokens
+			sum.HeldTokens += l.HeldTokens
 			sum.Slowness = max(sum.Slowness, l.Slowness)
 			loads[l.Target] = sum
 		}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -241,6 +241,9 @@
 type PeerLoad struct {
 	Requests      int
 	PrefillTokens float64
+	// HeldTokens are those of the prompts and answers of the requests, 0 if
+	// unknown.
+	HeldTokens float64
 }
 
 // SetPeerLoad notes what the other entry hosts tell of a target.
@@ -248,6 +251,7 @@
 	if e := b.find(target); e != nil {
 		e.peerInFlight = load.Requests
 		e.peerPrefill = load.PrefillTokens
+		e.peerHeld = load.HeldTokens
 		e.notePeak(now)
 	}
 }
@@ -342,6 +346,7 @@
 	Requests      int
 	PrefillTokens float64
 	Slowness      float64
+	HeldTokens    float64
 }
 
 // InFlight lists the targets that run requests of this host, or are slowed.
@@ -352,7 +357,7 @@
 		if e.gone || (e.inFlight == 0 && score < noticeableSlowness) {
 			continue
 		}
-		list = append(list, InFlight{Target: e.spec.Name, Requests: e.inFlight, PrefillTokens: e.prefillTokens, Slowness: score})
+		list = append(list, InFlight{Target: e.spec.Name, Requests: e.inFlight, PrefillTokens: e.prefillTokens, Slowness: score, HeldTokens: e.heldTokens})
 	}
 	return list
 }
--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -198,3 +198,37 @@
 		t.Error("blamed after its first token")
 	}
 }
+
+// A host knows the memory of a target also where its own requests are unlike
+// those of its peers, or where it runs none there.
+func TestMemoryOfPeersIsCounted(t *testing.T) {
+	const memory = 100_000
+	now := time.Unix(1000, 0)
+	for name, test := range map[string]struct {
+		own, peers, peerTokens int
+		fits                   bool
+	}{
+		"one large request beside small ones": {own: 20_000, peers: 12, peerTokens: 24_000, fits: true},
+		"one small request beside large ones": {own: 500, peers: 6, peerTokens: 90_000, fits: false},
+		"none beside large ones":              {peers: 6, peerTokens: 90_000, fits: false},
+		"peers of unknown size":               {own: 20_000, peers: 6, fits: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := placement.NewBoard(placement.Params{PreferredCount: 4, RandomCount: 4, PieceTokens: fakePieceTokens, IndexEntries: 1000, LongSlotPercent: 100, SlowRatio: 2, Seed: 3})
+			b.SetEngines(now, []placement.EngineSpec{{Name: "e", Models: []string{fakeModel}, Slots: 64, PrefillRate: 1000, TokenGap: fakeGap, MemoryTokens: memory}})
+			b.Report(now, "e", placement.LoadReport{Versions: []string{fakeVersion}, Incarnation: 1})
+			req := placement.Request{ID: "own", Model: fakeModel, Version: fakeVersion, PromptTokens: test.own}
+			var d placement.Decision
+			if test.own > 0 {
+				b.Place(now, &req, &d)
+				b.Start(now, &req, &d)
+			}
+			b.SetPeerLoad(now, "e", placement.PeerLoad{Requests: test.peers, HeldTokens: float64(test.peerTokens)})
+			req = placement.Request{ID: "next", Model: fakeModel, Version: fakeVersion, PromptTokens: 10_000, MemoryShare: 0.85}
+			b.Place(now, &req, &d)
+			if (d.Target == "e") != test.fits {
+				t.Errorf("got target %q (%s), want room: %v", d.Target, d.Reason, test.fits)
+			}
+		})
+	}
+}
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -104,6 +104,9 @@
 	Store        string
 	ImportPieces int
 	Considered   []Estimate
+	// MemoryTaken is the part of its memory that would be taken at the target
+	// with most room, where the reason is that none has room.
+	MemoryTaken float64
 }
 
 // Ticket stands for one request on one target from its placement to its end.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -75,6 +75,7 @@
 	heldTokens   float64
 	peerInFlight int
 	peerPrefill  float64
+	peerHeld     float64
 	external     int
 	peakInFlight int
 	peakAt       time.Time
@@ -161,13 +162,18 @@
 	memoryShare = 0.9
 )
 
-// heldTokensOfAll returns the tokens of all requests at the engine. Those of
-// peers are taken to be as large as the own ones.
+// heldTokensOfAll returns the tokens of all requests at the engine. Those whose
+// size nobody told are taken to be as large as the known ones.
 func (e *engine) heldTokensOfAll() float64 {
-	if e.inFlight == 0 {
+	held, known := e.heldTokens, e.inFlight
+	if e.peerHeld > 0 {
+		held += e.peerHeld
+		known += e.peerInFlight
+	}
+	if known == 0 {
 		return 0
 	}
-	return e.heldTokens / float64(e.inFlight) * float64(e.load())
+	return held / float64(known) * float64(e.load())
 }
 
 // memoryTaken returns the part of the memory that is taken with a request.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -58,7 +58,10 @@
 			longFull = true
 			continue
 		}
-		if req.MemoryShare > 0 && e.memoryTaken(req) > req.MemoryShare {
+		if taken := e.memoryTaken(req); req.MemoryShare > 0 && taken > req.MemoryShare {
+			if !memoryFull || taken < d.MemoryTaken {
+				d.MemoryTaken = taken
+			}
 			memoryFull = true
 			continue
 		}
