Watch the cache right after the start

Cause: a host looked for targets whose cache to watch every 500 ms, the first time half a second after its start. It looks every 50 ms now.

Ruled out: the list of targets and the configuration (known 20 ms after the start), the loads of peers (the engines were evenly used).

Test: TestCacheIsHeardOfRightAfterTheStart (no call 100 ms after the targets are known).

--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -22,8 +22,9 @@
 	shortCycle = time.Second
 	// watcherShare is the part of the calls a target holds that short ones fill.
 	watcherShare = 0.75
-	// watchEvery is the time between two looks at which targets there are.
-	watchEvery = 500 * time.Millisecond
+	// watchEvery is the time between two looks at which targets there are. A host
+	// that starts places as if they held nothing until it watches them.
+	watchEvery = 50 * time.Millisecond
 )
 
 // CacheEvent tells that a target keeps a part of a prompt, or less of it.
--- a/internal/gateway/cachewatch_test.go
+++ b/internal/gateway/cachewatch_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
 )
 
@@ -51,6 +52,35 @@
 	return CacheEvents{Epoch: 1, Next: since}, err
 }
 
+// A host that starts knows the cache of engines and stores almost as soon as the
+// list of targets: until then it places as if they held nothing.
+func TestCacheIsHeardOfRightAfterTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target := &boundedTarget{most: 12, answered: map[*Gateway]int{}}
+		g, _, _ := newStoreWorld(t)
+		g.Clock = clock.System{}
+		g.Fleet.Drop(time.Now(), "e1")
+		cfg := *g.Routes()
+		cfg.Version = 2
+		cfg.Services["kept"] = routing.Service{Name: "kept", Store: &routing.CacheStore{Address: storeAddress, Tokens: 5000, LinkBytesPerSecond: 2e10, Managed: true}}
+		ctx, end := context.WithCancel(context.Background())
+		var watching sync.WaitGroup
+		watching.Go(func() { g.WatchCaches(ctx, watcher{target, g}) })
+		watching.Go(func() { g.WatchStores(ctx, watcher{target, g}) })
+		time.Sleep(20 * time.Millisecond)
+		g.SetRoutes(&cfg)
+		g.Fleet.Put(fleet.Target{ID: "e1", Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 1}})
+		time.Sleep(100 * time.Millisecond)
+		target.mu.Lock()
+		if target.holding != 2 {
+			t.Errorf("%d calls for events wait 100 ms after the targets are known, want one of the engine and one of the store", target.holding)
+		}
+		target.mu.Unlock()
+		end()
+		watching.Wait()
+	})
+}
+
 // More hosts than a target holds calls still all hear of its cache.
 func TestEveryHostHearsOfTheCache(t *testing.T) {
 	for _, hosts := range []int{8, 12, 20, 61} {
