--- a/internal/placement/driver_test.go
+++ b/internal/placement/driver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -138,6 +139,9 @@
 			return next
 		}}
 	}
+	if name == "oracle" {
+		return &baseline{w: w, pick: func() int { return w.soonest() }}
+	}
 	inFlight := func(e *fakeEngine) int { return e.load() }
 	return &baseline{w: w, pick: func() int {
 		best := 0
@@ -150,6 +154,22 @@
 	}}
 }
 
+// soonest returns the engine that would compute a new prompt first. It looks at
+// what no host can know: all prompts that wait and which engines are slowed now.
+func (w *world) soonest() int {
+	best, least := 0, math.Inf(1)
+	for i, e := range w.engines {
+		ahead := 0
+		for _, r := range e.prefills {
+			ahead += r.remaining
+		}
+		if until := float64(ahead) * e.slow; e.slow == 1 && until < least {
+			best, least = i, until
+		}
+	}
+	return best
+}
+
 func (b *baseline) arrive(a *arrival, res *result) {
 	r := &fakeRun{chain: a.chain, prompt: a.prompt, answer: a.answer}
 	r.first = func() { b.w.count(res, r) }
