Keep one type for what is placed on a target

The board's InFlight and PeerLoad and the peers' TargetLoad were the same fields three times, and both paths sorted, cut and converted them on their own. There is one TargetLoad now, the board sorts and bounds the list, and suspects are told and merged in one place.

--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -87,7 +87,7 @@
 		r.Demands = append(r.Demands, peer.AccountDemand{Account: fmt.Sprintf("account-%03d", i), TokensPerSecond: 1000, InFlight: 3})
 	}
 	for i := range targets {
-		r.Loads = append(r.Loads, peer.TargetLoad{Target: engineName(i), Requests: 2, PrefillTokens: 4000, Slowness: 1, HeldTokens: 9000})
+		r.Loads = append(r.Loads, placement.TargetLoad{Target: engineName(i), Requests: 2, PrefillTokens: 4000, Slowness: 1, HeldTokens: 9000})
 	}
 	return r
 }
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -10,7 +10,6 @@
 	"sassafrasplank.example/sassafrasplank/internal/admission"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
 	"sassafrasplank.example/sassafrasplank/internal/peer"
-	"sassafrasplank.example/sassafrasplank/internal/placement"
 )
 
 // tickEvery is the time between two looks at capacity, limits and deadlines.
@@ -95,8 +94,7 @@
 		d.applied = set
 	}
 	for _, name := range d.targetNames(set) {
-		load := loads[name]
-		d.board.SetPeerLoad(now, name, placement.PeerLoad{Requests: load.Requests, PrefillTokens: load.PrefillTokens, HeldTokens: load.HeldTokens})
+		d.board.SetPeerLoad(now, name, loads[name])
 	}
 	d.endLapsedJobs(now)
 	d.shareLimits(now)
@@ -147,16 +145,8 @@
 	for _, demand := range demands[:min(demandsTold, len(demands))] {
 		report.Demands = append(report.Demands, peer.AccountDemand(demand))
 	}
-	loads := d.board.InFlight(now)
-	slices.SortFunc(loads, func(a, b placement.InFlight) int { return cmp.Compare(b.PrefillTokens, a.PrefillTokens) })
-	for _, load := range loads[:min(loadsTold, len(loads))] {
-		report.Loads = append(report.Loads, peer.TargetLoad(load))
-	}
-	d.suspects.All(now, func(fingerprint string, crashes int, age time.Duration) {
-		if len(report.Suspects) < suspectsTold {
-			report.Suspects = append(report.Suspects, peer.Suspect{Fingerprint: fingerprint, Crashes: crashes, Age: age})
-		}
-	})
+	report.Loads = d.board.Loads(now, loadsTold)
+	report.Suspects = peer.SuspectsOf(now, &d.suspects, suspectsTold)
 	return report
 }
 
@@ -172,7 +162,5 @@
 	now := d.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, s := range suspects {
-		d.suspects.Merge(now, s.Fingerprint, s.Crashes, s.Age)
-	}
+	peer.MergeSuspects(now, &d.suspects, suspects)
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,7 +22,6 @@
 	"sassafrasplank.example/sassafrasplank/internal/config"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/lengths"
-	"sassafrasplank.example/sassafrasplank/internal/peer"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/retention"
@@ -89,7 +88,7 @@
 	// Hosts returns the number of live entry hosts, this one included.
 	Hosts() int
 	// Loads returns what peers have placed on targets.
-	Loads() map[string]peer.TargetLoad
+	Loads() map[string]placement.TargetLoad
 	// InFlight returns the requests that peers run or hold, and whether the
 	// reports are fresh.
 	InFlight() (requests int, fresh bool)
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -22,8 +22,8 @@
 	"sassafrasplank.example/sassafrasplank/internal/config"
 	"sassafrasplank.example/sassafrasplank/internal/dispatch"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
-	"sassafrasplank.example/sassafrasplank/internal/peer"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/store"
 	"sassafrasplank.example/sassafrasplank/internal/target"
 	"sassafrasplank.example/sassafrasplank/pkg/record"
@@ -89,7 +89,7 @@
 func (s *surroundings) Defensible() bool                          { return true }
 func (s *surroundings) Full() bool                                { return false }
 func (s *surroundings) Hosts() int                                { return 1 }
-func (s *surroundings) Loads() map[string]peer.TargetLoad         { return nil }
+func (s *surroundings) Loads() map[string]placement.TargetLoad    { return nil }
 func (s *surroundings) InFlight() (int, bool)                     { return 0, true }
 func (s *surroundings) AccountDemand(string) (float64, int, bool) { return 0, 0, true }
 func (s *surroundings) PoolHome(string) (string, bool)            { return s.home, s.home == "" }
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -13,7 +13,7 @@
 func TestRefusalTellsWhy(t *testing.T) {
 	for want, prepare := range map[string]func(g *Gateway){
 		"the emptiest one's memory would be 1.16 full, at most 1.05 is allowed": func(g *Gateway) {
-			g.board.SetPeerLoad(g.Clock.Now(), "e1", placement.PeerLoad{Requests: 3, HeldTokens: 10_500})
+			g.board.SetPeerLoad(g.Clock.Now(), "e1", placement.TargetLoad{Requests: 3, HeldTokens: 10_500})
 		},
 		"none is listed, ready and sound": func(g *Gateway) {
 			g.board.Avoid("e1", g.Clock.Now().Add(longest))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
@@ -22,7 +20,7 @@
 
 // LoadProvider gives what the other hosts have placed on targets.
 type LoadProvider interface {
-	Loads() map[string]peer.TargetLoad
+	Loads() map[string]placement.TargetLoad
 }
 
 // FollowPeers takes in the loads of the peers until ctx ends.
@@ -33,8 +31,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for _, t := range g.Fleet.Targets() {
-			load := loads[t.ID]
-			g.board.SetPeerLoad(now, t.ID, placement.PeerLoad{Requests: load.Requests, PrefillTokens: load.PrefillTokens, HeldTokens: load.HeldTokens})
+			g.board.SetPeerLoad(now, t.ID, loads[t.ID])
 		}
 	})
 }
@@ -45,17 +42,8 @@
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	report := peer.Report{RequestsInFlight: g.Active()}
-	loads := g.board.InFlight(now)
-	slices.SortFunc(loads, func(a, b placement.InFlight) int { return cmp.Compare(b.PrefillTokens, a.PrefillTokens) })
-	for _, load := range loads[:min(loadsTold, len(loads))] {
-		report.Loads = append(report.Loads, peer.TargetLoad(load))
-	}
-	g.suspects.All(now, func(fingerprint string, crashes int, age time.Duration) {
-		if len(report.Suspects) < suspectsTold {
-			report.Suspects = append(report.Suspects, peer.Suspect{Fingerprint: fingerprint, Crashes: crashes, Age: age})
-		}
-	})
+	report := peer.Report{RequestsInFlight: g.Active(), Loads: g.board.Loads(now, loadsTold)}
+	report.Suspects = peer.SuspectsOf(now, &g.suspects, suspectsTold)
 	return report
 }
 
@@ -64,7 +52,5 @@
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, s := range suspects {
-		g.suspects.Merge(now, s.Fingerprint, s.Crashes, s.Age)
-	}
+	peer.MergeSuspects(now, &g.suspects, suspects)
 }
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -11,6 +11,8 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/membership"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 )
 
 const (
@@ -32,7 +34,7 @@
 	// Ready tells whether the balancer may send requests to the host.
 	Ready    bool
 	Demands  []AccountDemand
-	Loads    []TargetLoad
+	Loads    []placement.TargetLoad
 	Suspects []Suspect
 	Tables   []TableVersion
 }
@@ -44,16 +46,6 @@
 	InFlight        int
 }
 
-// TargetLoad is what one host has placed on a target.
-type TargetLoad struct {
-	Target        string
-	Requests      int
-	PrefillTokens float64
-	Slowness      float64
-	// HeldTokens are those of the prompts and answers of the requests.
-	HeldTokens float64
-}
-
 // Suspect is a request that ran on targets that died.
 type Suspect struct {
 	Fingerprint string
@@ -62,6 +54,24 @@
 	Age time.Duration
 }
 
+// SuspectsOf lists at most so many of the requests that a host suspects.
+func SuspectsOf(now time.Time, known *retry.Suspects, most int) []Suspect {
+	var list []Suspect
+	known.All(now, func(fingerprint string, crashes int, age time.Duration) {
+		if len(list) < most {
+			list = append(list, Suspect{Fingerprint: fingerprint, Crashes: crashes, Age: age})
+		}
+	})
+	return list
+}
+
+// MergeSuspects adds what a peer suspects to what a host knows.
+func MergeSuspects(now time.Time, known *retry.Suspects, told []Suspect) {
+	for _, s := range told {
+		known.Merge(now, s.Fingerprint, s.Crashes, s.Age)
+	}
+}
+
 func (r *Report) encode() *wire.Report {
 	encoded := &wire.Report{
 		Revision:         r.Revision,
@@ -134,7 +144,7 @@
 		if len(l.Target) > maxNameBytes || l.Requests < 0 || l.PrefillTokens < 0 || l.HeldTokens < 0 {
 			return fmt.Errorf("peer report: load of %.40q is out of range", l.Target)
 		}
-		r.Loads = append(r.Loads, TargetLoad{
+		r.Loads = append(r.Loads, placement.TargetLoad{
 			Target: l.Target, Requests: int(l.Requests), PrefillTokens: float64(l.PrefillTokens), Slowness: float64(l.Slowness), HeldTokens: float64(l.HeldTokens),
 		})
 	}
--- a/internal/peer/report_test.go
+++ b/internal/peer/report_test.go
@@ -9,13 +9,14 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/membership"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
 )
 
 func sampleReport() Report {
 	return Report{
 		Revision: 3, HighestRevision: 4, ContactAge: 2 * time.Second, ContactKnown: true, RequestsInFlight: 5, Ready: true,
 		Demands:  []AccountDemand{{Account: "orders", TokensPerSecond: 10, InFlight: 2}},
-		Loads:    []TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1, HeldTokens: 700}},
+		Loads:    []placement.TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1, HeldTokens: 700}},
 		Suspects: []Suspect{{Fingerprint: "f00d", Crashes: 1, Age: time.Second}},
 	}
 }
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -17,6 +17,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/membership"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/recordstore"
 	"sassafrasplank.example/sassafrasplank/pkg/record"
@@ -47,7 +48,7 @@
 		report.Demands = append(report.Demands, AccountDemand{Account: fmt.Sprintf("account-%03d", i), TokensPerSecond: 1000, InFlight: 3})
 	}
 	for i := range a.targets {
-		report.Loads = append(report.Loads, TargetLoad{Target: fmt.Sprintf("engine-%05d", i), Requests: 2, PrefillTokens: 4000, Slowness: 1, HeldTokens: 9000})
+		report.Loads = append(report.Loads, placement.TargetLoad{Target: fmt.Sprintf("engine-%05d", i), Requests: 2, PrefillTokens: 4000, Slowness: 1, HeldTokens: 9000})
 	}
 	return report
 }
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
 )
 
 // HostState is what this host knows of an entry host.
@@ -85,10 +86,10 @@
 }
 
 // Loads returns what peers have placed on targets.
-func (g *Group) Loads() map[string]TargetLoad {
+func (g *Group) Loads() map[string]placement.TargetLoad {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	loads := map[string]TargetLoad{}
+	loads := map[string]placement.TargetLoad{}
 	g.reportsWithin(g.LoadsFor, func(report *Report) {
 		for _, l := range report.Loads {
 			sum := loads[l.Target]
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -237,17 +238,8 @@
 	}
 }
 
-// PeerLoad is what the other entry hosts tell of a target.
-type PeerLoad struct {
-	Requests      int
-	PrefillTokens float64
-	// HeldTokens are those of the prompts and answers of the requests, 0 if
-	// unknown.
-	HeldTokens float64
-}
-
 // SetPeerLoad notes what the other entry hosts tell of a target.
-func (b *Board) SetPeerLoad(now time.Time, target string, load PeerLoad) {
+func (b *Board) SetPeerLoad(now time.Time, target string, load TargetLoad) {
 	if e := b.find(target); e != nil {
 		e.peerInFlight = load.Requests
 		e.peerPrefill = load.PrefillTokens
@@ -340,26 +332,32 @@
 	return slots
 }
 
-// InFlight is what this host has placed on one target.
-type InFlight struct {
+// TargetLoad is what one host, or several together, have placed on a target.
+type TargetLoad struct {
 	Target        string
 	Requests      int
 	PrefillTokens float64
 	Slowness      float64
-	HeldTokens    float64
+	// HeldTokens are those of the prompts and answers of the requests, 0 if
+	// unknown.
+	HeldTokens float64
 }
 
-// InFlight lists the targets that run requests of this host, or are slowed.
-func (b *Board) InFlight(now time.Time) []InFlight {
-	var list []InFlight
+// Loads lists the targets that run requests of this host, or are slowed, those
+// with most prompt tokens to compute first and at most so many.
+func (b *Board) Loads(now time.Time, most int) []TargetLoad {
+	var list []TargetLoad
 	for _, e := range b.engines {
 		score := e.slow.Score(now)
 		if e.gone || (e.inFlight == 0 && score < noticeableSlowness) {
 			continue
 		}
-		list = append(list, InFlight{Target: e.spec.Name, Requests: e.inFlight, PrefillTokens: e.prefillTokens, Slowness: score, HeldTokens: e.heldTokens})
+		list = append(list, TargetLoad{
+			Target: e.spec.Name, Requests: e.inFlight, PrefillTokens: e.prefillTokens, Slowness: score, HeldTokens: e.heldTokens,
+		})
 	}
-	return list
+	slices.SortFunc(list, func(a, b TargetLoad) int { return cmp.Compare(b.PrefillTokens, a.PrefillTokens) })
+	return list[:min(most, len(list))]
 }
 
 // Knows reports whether a key was seen on any target or store host.
--- a/internal/placement/board_test.go
+++ b/internal/placement/board_test.go
@@ -223,7 +223,7 @@
 				b.Place(now, &req, &d)
 				b.Start(now, &req, &d)
 			}
-			b.SetPeerLoad(now, "e", placement.PeerLoad{Requests: test.peers, HeldTokens: float64(test.peerTokens)})
+			b.SetPeerLoad(now, "e", placement.TargetLoad{Requests: test.peers, HeldTokens: float64(test.peerTokens)})
 			req = placement.Request{ID: "next", Model: fakeModel, Version: fakeVersion, PromptTokens: 10_000, MemoryShare: 0.85}
 			b.Place(now, &req, &d)
 			if (d.Target == "e") != test.fits {
--- a/internal/placement/driver_test.go
+++ b/internal/placement/driver_test.go
@@ -532,12 +532,12 @@
 // tell lets one host hear from all others.
 func (f *fleet) tell(w *world, listener int) {
 	now := w.clock.now
-	sums := map[string]placement.PeerLoad{}
+	sums := map[string]placement.TargetLoad{}
 	for i, o := range f.hosts {
 		if i == listener {
 			continue
 		}
-		for _, load := range o.board.InFlight(now) {
+		for _, load := range o.board.Loads(now, len(w.engines)) {
 			sum := sums[load.Target]
 			sum.Requests += load.Requests
 			sum.PrefillTokens += load.PrefillTokens
