--- a/internal/placement/fake_test.go
+++ b/internal/placement/fake_test.go
@@ -88,7 +88,10 @@
 	gap       time.Duration
 	cacheSize int
 	slow      float64
+	// memory is the room in tokens for requests that run, 0 for no bound.
+	memory int
 
+	held      int
 	running   int
 	waiting   []*fakeRun
 	prefills  []*fakeRun
@@ -127,18 +130,26 @@
 func (e *fakeEngine) fillSlots() {
 	for e.running < e.slots && len(e.waiting) > 0 {
 		r := e.waiting[0]
+		if !r.cancelled && e.running > 0 && e.memory > 0 && e.held+r.size() > e.memory {
+			return
+		}
 		e.waiting = e.waiting[1:]
 		if r.cancelled {
 			continue
 		}
 		e.running++
+		e.held += r.size()
 		r.slotted = true
 		e.startPrefill(r)
 	}
 }
 
-func (e *fakeEngine) leave() {
+// size is the room in tokens that a request takes while it runs.
+func (r *fakeRun) size() int { return r.prompt + r.answer }
+
+func (e *fakeEngine) leave(r *fakeRun) {
 	e.running--
+	e.held -= r.size()
 	e.fillSlots()
 }
 
@@ -159,7 +170,7 @@
 		r := e.prefills[0]
 		if r.cancelled {
 			e.prefills = e.prefills[1:]
-			e.leave()
+			e.leave(r)
 			continue
 		}
 		piece := min(r.remaining, fakePieceTokens)
@@ -175,7 +186,7 @@
 		e.prefills = slices.DeleteFunc(e.prefills, func(other *fakeRun) bool { return other == r })
 		e.keep(r.chain)
 		if r.cancelled {
-			e.leave()
+			e.leave(r)
 		} else {
 			r.first()
 			e.decode(r)
@@ -192,9 +203,9 @@
 		r.delivered += tokens
 		switch {
 		case r.cancelled:
-			e.leave()
+			e.leave(r)
 		case r.delivered >= r.answer:
-			e.leave()
+			e.leave(r)
 			r.done()
 		default:
 			r.gap()
