Leave out a cache event that can't be read

Cause, found by a fuzz target for what targets answer: an event with a negative number of tokens, no part or an unknown sign was taken in, and one that couldn't be decoded failed its call; the next call asked for the same events again, so one row ended the watching of that target for good. It is left out, counted and logged now.

--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -47,6 +47,9 @@
 	// Lost tells of a gap.
 	Lost   bool
 	Events []CacheEvent
+	// Unread is why one of the events could not be read, nil if all were. Such an
+	// event is left out.
+	Unread error
 }
 
 // CacheEventCaller reads cache events.
@@ -126,6 +129,7 @@
 			g.count("cacheEvents.failed")
 			pause = cacheRetry
 		} else {
+			g.logUnread(id, events.Unread)
 			g.applyCache(id, epoch != 0 && events.Epoch != epoch, events)
 			since, epoch = events.Next, events.Epoch
 		}
@@ -133,6 +137,14 @@
 	}
 }
 
+// logUnread tells of an event that says nothing of use.
+func (g *Gateway) logUnread(source string, err error) {
+	if err != nil {
+		g.count("cacheEvents.unread")
+		g.Log.Warn().Str("part", "cache").Str("source", source).Err(err).Msg("cache: an event is left out")
+	}
+}
+
 func (g *Gateway) applyCache(id string, restarted bool, events CacheEvents) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -115,6 +115,7 @@
 		wait, pause := g.watchPace(s.spec.Watchers)
 		events, err := caller.CacheEvents(ctx, s.spec.Address, since, wait)
 		if err == nil {
+			g.logUnread(name, events.Unread)
 			g.applyStore(name, s, events)
 			since = events.Next
 		} else if ctx.Err() == nil {
