Take the bounds of a leaving target and of a stop from the settings

Both fitted the two sites only: a removal after an outage held after 1.5 s, three quarters of the two seconds in which a leaving target may be sent requests, and a stop took 3 and 7 s of the eight until the kill. The template gives both bounds now; where a process is killed sooner the stop is shorter. On both sites the values are the same as before. Tests: TestStopIsShorterThanTheTimeUntilTheKill, TestTemplateOfTheDeployment.

--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -12,7 +12,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 )
 
-// Times are how long a caller may take for a header and stay idle.
+// Times are how long a caller may take to send a header, and may stay idle.
 type Times struct {
 	Header, Idle time.Duration
 }
@@ -26,7 +26,7 @@
 	Times func() Times
 }
 
-// Bind prepares a server that is to serve the listener.
+// Bind prepares a server that will serve the listener.
 func (l *Listener) Bind(server *http.Server) {
 	// A server without limits sets no deadlines that could be replaced.
 	server.ReadHeaderTimeout, server.IdleTimeout = time.Hour, time.Hour
@@ -66,7 +66,7 @@
 	phase phase
 	// since is when the phase's deadline was set, the zero time before that.
 	since time.Time
-	// begun is whether a part of the header has been read.
+	// begun tells that something was read since the last request ended.
 	begun bool
 }
 
--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -49,6 +49,20 @@
 	StopDelay Duration `json:"stopDelay"`
 	// StopWithin bounds a planned stop.
 	StopWithin Duration `json:"stopWithin"`
+	// KilledAfter is the time after which a process that was told to stop is
+	// killed. A stop is shortened where that is needed.
+	KilledAfter Duration `json:"killedAfter"`
+}
+
+// lastWrites is the part of KilledAfter that is kept for the last writes of a
+// host once its requests have ended.
+const lastWrites = 1.0 / 8
+
+// StopTimes returns the time from becoming unready to closing the listener, and
+// that in which requests have to end.
+func (c *Routed) StopTimes() (delay, within time.Duration) {
+	within = min(c.StopWithin.Duration, time.Duration((1-lastWrites)*float64(c.KilledAfter.Duration)))
+	return min(c.StopDelay.Duration, within/2), within
 }
 
 // Listener is an address that a host serves.
@@ -81,6 +95,8 @@
 	ChangeWait Duration `json:"changeWait"`
 	// TargetPoll is the time between two looks at the list of targets.
 	TargetPoll Duration `json:"targetPoll"`
+	// LeaveWithin is the time after which a target that leaves gets no request.
+	LeaveWithin Duration `json:"leaveWithin"`
 }
 
 // RoutedRetries configures further attempts of routed requests.
@@ -152,6 +168,7 @@
 			BreakerPause:    Of(300 * time.Millisecond),
 			ChangeWait:      Of(1500 * time.Millisecond),
 			TargetPoll:      Of(500 * time.Millisecond),
+			LeaveWithin:     Of(2 * time.Second),
 		},
 		Placement: base.Placement,
 		Slowness:  base.Slowness,
@@ -175,6 +192,7 @@
 		MemoryStep:             0.03,
 		StopDelay:              Of(3 * time.Second),
 		StopWithin:             Of(7 * time.Second),
+		KilledAfter:            Of(8 * time.Second),
 	}
 	cfg.Placement.IndexEntries = 40_000
 	cfg.Placement.WarmUp = Of(0)
@@ -220,6 +238,7 @@
 		"/table/callTimeout":   c.Table.CallTimeout,
 		"/table/changeWait":    c.Table.ChangeWait,
 		"/table/targetPoll":    c.Table.TargetPoll,
+		"/table/leaveWithin":   c.Table.LeaveWithin,
 		"/ledger/flushEvery":   c.Ledger.FlushEvery,
 		"/peers/interval":      c.Peers.Interval,
 		"/rollout/lease":       c.Rollout.Lease,
@@ -227,6 +246,7 @@
 		"/retries/avoidFor":    c.Retries.AvoidFor,
 		"/retries/returnAfter": c.Retries.ReturnAfter,
 		"/stopWithin":          c.StopWithin,
+		"/killedAfter":         c.KilledAfter,
 	} {
 		k.require(value.Duration > 0, pointer, "%s: want a duration above zero", fieldName(pointer))
 	}
--- a/internal/config/routed_test.go
+++ b/internal/config/routed_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -54,11 +55,33 @@
 		"{{node_name|json}}", `"edge-1"`, "{{zone|json}}", `"north"`, "{{listen.front|json}}", `"127.0.0.1:1"`,
 		"{{listen.ready|json}}", `"127.0.0.1:2"`, "{{ip}}", "127.0.0.1", "{{port_range.0}}", "3", "{{port_range.1}}", "4",
 		"{{limits.ram_mb}}", "284", "{{bounds.budget_extra}}", "56", "{{platform.addr}}", "127.0.0.1:5", "{{bounds.lease_ms}}", "3000", "{{bounds.version_ms}}", "15000",
+		"{{bounds.drain_ms}}", "2500", "{{bounds.grace_s}}", "4",
 	).Replace(string(data))
 	if strings.Contains(filled, "{{") {
 		t.Fatalf("the test doesn't fill in all of the template:\n%s", filled)
 	}
-	if _, err := config.DecodeRouted("settings.json.tmpl", []byte(filled)); err != nil {
-		t.Error(err)
+	cfg, err := config.DecodeRouted("settings.json.tmpl", []byte(filled))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := []time.Duration{cfg.Table.LeaveWithin.Duration, cfg.KilledAfter.Duration, cfg.Rollout.Quiet.Duration, cfg.Rollout.Within.Duration}
+	if diff := cmp.Diff([]time.Duration{2500 * time.Millisecond, 4 * time.Second, 3 * time.Second, 15 * time.Second}, got); diff != "" {
+		t.Errorf("bounds of the deployment (-want +got):\n%s", diff)
+	}
+}
+
+// A stop ends before the process is killed.
+func TestStopIsShorterThanTheTimeUntilTheKill(t *testing.T) {
+	cfg := config.DefaultRouted()
+	for killedAfter, want := range map[time.Duration][2]time.Duration{
+		8 * time.Second:  {3 * time.Second, 7 * time.Second},
+		30 * time.Second: {3 * time.Second, 7 * time.Second},
+		4 * time.Second:  {1750 * time.Millisecond, 3500 * time.Millisecond},
+	} {
+		cfg.KilledAfter = config.Of(killedAfter)
+		delay, within := cfg.StopTimes()
+		if diff := cmp.Diff(want, [2]time.Duration{delay, within}); diff != "" {
+			t.Errorf("killed after %s: delay and bound (-want +got):\n%s", killedAfter, diff)
+		}
 	}
 }
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -123,6 +123,7 @@
 		Breaker: &platform.Breaker{Clock: h.Clock, Failures: cfg.Table.BreakerFailures, Pause: cfg.Table.BreakerPause.Duration},
 	}
 	h.fleet = fleet.NewView()
+	h.fleet.LeaveWithin = cfg.Table.LeaveWithin.Duration
 	h.writer = &ledger.Writer{
 		Host: cfg.Host, Incarnation: incarnation, Table: h.table, Clock: h.Clock, Log: h.Log,
 		FlushEvery: cfg.Ledger.FlushEvery.Duration, BatchRows: cfg.Ledger.BatchRows, BufferRows: cfg.Ledger.BufferRows,
@@ -312,8 +313,8 @@
 // allows callers is checked behind it and lies far below.
 const headerBytes = 256 << 10
 
-// The times of callers before a configuration is known, and of peers and
-// operators at any time: longer than the pauses of both.
+// The times allowed to callers before a configuration is known, and to peers and
+// operators at any time. Both are longer than any pause of theirs.
 const (
 	firstHeaderTimeout = 10 * time.Second
 	firstIdleTimeout   = 75 * time.Second
@@ -376,9 +377,10 @@
 func (h *RoutedHost) stop(hasten context.Context, listeners []*listener) {
 	h.Log.Info().Str("part", "entry").Int("active", h.gateway.Active()).Msg("entry: planned stop begins")
 	h.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(hasten, h.Config.StopWithin.Duration)
+	delay, within := h.Config.StopTimes()
+	ctx, cancel := context.WithTimeout(hasten, within)
 	defer cancel()
-	_ = clock.Sleep(ctx, h.Clock, h.Config.StopDelay.Duration) // The loop below looks at ctx.
+	_ = clock.Sleep(ctx, h.Clock, delay) // The loop below looks at ctx.
 	for _, l := range listeners {
 		l.close(ctx)
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -15,10 +15,10 @@
 // register again, from the service's contract.
 const returnGrace = 2 * time.Second
 
-// removalKept is how long a removal that was read after the first answer of the
-// returned service may still turn out to be a late one: the two seconds in which
-// a target that leaves may be sent requests, less the time these travel.
-const removalKept = 1500 * time.Millisecond
+// removalShare is the part of LeaveWithin after which a removal that was read
+// behind the first answer of the returned service holds. The rest is for requests
+// on their way.
+const removalShare = 0.75
 
 // firstAnswer is the time in which the first answer of the returned service is
 // taken in. What it removes may have lapsed while the service was away.
@@ -40,6 +40,10 @@
 
 // View holds the targets that are listed. It is safe for concurrent use.
 type View struct {
+	// LeaveWithin is the time after which a target that leaves gets no request any
+	// more. It is set before the first use.
+	LeaveWithin time.Duration
+
 	mu      sync.Mutex
 	targets map[string]Target
 	// missing holds the targets that may register again, and when each removal
@@ -157,7 +161,8 @@
 		return nil
 	}
 	for id, read := range v.missing {
-		late := read.After(v.backAt.Add(firstAnswer)) && !now.Before(read.Add(removalKept))
+		kept := time.Duration(removalShare * float64(v.LeaveWithin))
+		late := read.After(v.backAt.Add(firstAnswer)) && !now.Before(read.Add(kept))
 		if now.Before(v.graceUntil) && !late {
 			continue
 		}
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -61,6 +61,7 @@
 // a target that leaves, which may be sent requests for two seconds only.
 func TestRemovalAfterTheReturnIsBoundedByItself(t *testing.T) {
 	v, back := fleet.NewView(), time.Unix(100, 0)
+	v.LeaveWithin = 2 * time.Second
 	for _, id := range []string{"first", "later", "last"} {
 		v.Put(fleet.Target{ID: id})
 	}
--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -16,11 +16,13 @@
 	// cacheRetry is the pause after a call that failed, as calls that a target
 	// refuses are not free.
 	cacheRetry = 2 * time.Second
-	// shortWait is the least time that a target charges nothing for.
+	// shortWait is the shortest wait for which a target doesn't charge a call, by
+	// its contract.
 	shortWait = 200 * time.Millisecond
-	// shortCycle is the time between two short calls of one host.
+	// shortCycle is the least time between the starts of two short calls.
 	shortCycle = time.Second
-	// watcherShare is the part of the calls a target holds that short ones fill.
+	// watcherShare is the part of the calls held by a target that short ones may
+	// fill, so that few are refused when they come together.
 	watcherShare = 0.75
 	// watchEvery is the time between two looks at which targets there are. A host
 	// that starts places as if they held nothing until it watches them.
