Compare log output in full again, and take two bounds from what is stated

The output is compared in full, the bound is the 1% below which the placement takes targets for equal, and the return of the table service is due within one call and the follower's pause (1.25 s instead of 1.3 s). All three are stricter and pass. Product code is unchanged.

--- a/internal/common/logring/writer_test.go
+++ b/internal/common/logring/writer_test.go
@@ -63,8 +63,9 @@
 	_, _ = w.Write([]byte("beyond the ring\n"))
 	ctx, end := context.WithCancel(context.Background())
 	end()
-	if err := w.Run(ctx); err != nil || !strings.HasSuffix(out.String(), want) {
-		t.Errorf("%v, got %d bytes, want %d behind those of the dropped line", err, out.Len(), len(want))
+	want = `{"level":"warn","part":"log","dropped":1,"message":"log: lines were dropped"}` + "\n" + want
+	if err := w.Run(ctx); err != nil || out.String() != want {
+		t.Errorf("%v, got %d bytes, want %d", err, out.Len(), len(want))
 	}
 	if out.longest > pipeBytes {
 		t.Errorf("a write of several lines has %d bytes, want at most %d", out.longest, pipeBytes)
--- a/internal/placement/policy_test.go
+++ b/internal/placement/policy_test.go
@@ -184,17 +184,21 @@
 // At 40% of the Consortium's slots its engines compute prompts for 71% of their
 // time, and the seven that are left beside two slowed ones for 91%. Who knows
 // which are slowed and what waits everywhere misses the target there as well; the
-// placement comes as near to it as two hundredths.
+// placement comes as near to it as the difference below which it takes targets for
+// equal.
 func TestSlowTargetHeavyIsBoundByCapacity(t *testing.T) {
 	t.Parallel()
-	const target = 1.3
+	const (
+		target    = 1.3
+		tieMargin = 0.01
+	)
 	for _, d := range deployments {
 		_, slowed := runPolicy(d, slowScenario(d, heavyLoad, true), "oracle", knobs{})
 		_, none := runPolicy(d, slowScenario(d, heavyLoad, false), "oracle", knobs{})
 		ratio := slowed.p99 / none.p99
 		t.Logf("%s: %.3f of none slowed, %.0f and %.0f ms", d.name, ratio, slowed.p99, none.p99)
 		_, mine := runPolicy(d, slowScenario(d, heavyLoad, true), "ours", knobs{})
-		atMost(t, d.name+": p99 of who knows all", mine.p99/slowed.p99, 1.02)
+		atMost(t, d.name+": p99 of who knows all", mine.p99/slowed.p99, 1+tieMargin)
 		if met := ratio <= target; met != (d.name == "trust") {
 			t.Errorf("%s: p99 is %.3f of none slowed, target met: %v", d.name, ratio, met)
 		}
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -234,8 +234,8 @@
 			if err := <-done; err != nil {
 				t.Error(err)
 			}
-			if late := back.Sub(returned); back.IsZero() || late > callTime+300*time.Millisecond {
-				t.Errorf("after %s of silence the return is noticed after %s, want less than %s", silent, late, callTime+300*time.Millisecond)
+			if late := back.Sub(returned); back.IsZero() || late > callTime+retryPause {
+				t.Errorf("after %s of silence the return is noticed after %s, want at most %s", silent, late, callTime+retryPause)
 			}
 		})
 	}
@@ -251,6 +251,9 @@
 // callTime is the time beyond the wait after which the client gives up.
 const callTime = time.Second
 
+// retryPause is the follower's pause after a call that failed.
+const retryPause = 250 * time.Millisecond
+
 func (f *silentFeed) Feed(ctx context.Context, table string, after int64, wait time.Duration) (platform.Page, error) {
 	if f.silent.Load() {
 		_ = clock.Sleep(ctx, clock.System{}, wait+callTime)
