--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -284,6 +284,8 @@
 	bytes int
 }
 
+func (c *countingTable) Era() int64 { return 0 }
+
 func (c *countingTable) Scan(context.Context, platform.Scan) ([]platform.Row, error) { return nil, nil }
 
 func (c *countingTable) Commit(_ context.Context, tx platform.Transaction) error {
--- a/internal/common/logbuffer/writer.go
+++ b/internal/common/logbuffer/writer.go
@@ -56,7 +56,15 @@
 // allows.
 func (w *Writer) write(batch []byte) error {
 	if n := w.dropped.Swap(0); n > 0 {
-		batch = append(fmt.Appendf(nil, `{"level":"warn","part":"log","dropped":%d,"message":"log: lines were dropped"}`+"\n", n), batch...)
+		first := batch
+		batch = fmt.Appendf(nil, `{"level":"warn","part":"log","dropped":%d,"message":"log: lines were dropped"}`+"\n", n)
+		if len(batch)+len(first) > batchBytes {
+			if err := w.flush(batch); err != nil {
+				return err
+			}
+			batch = batch[:0]
+		}
+		batch = append(batch, first...)
 	}
 	for {
 		select {
--- a/internal/common/logbuffer/writer_test.go
+++ b/internal/common/logbuffer/writer_test.go
@@ -75,3 +75,21 @@
 		t.Errorf("got a write of several lines with %d bytes, want at most %d", out.longest, pipeBytes)
 	}
 }
+
+// The report of dropped lines must not make the write with the line after it longer than
+// PIPE_BUF.
+func TestReportOfDroppedLinesIsSplit(t *testing.T) {
+	var out pipe
+	w := logbuffer.New(&out, 1)
+	line := strings.Repeat("x", pipeBytes-20) + "\n"
+	_, _ = w.Write([]byte(line))
+	_, _ = w.Write([]byte("beyond the buffer\n"))
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	if err := w.Run(ctx); err != nil || !strings.HasSuffix(out.String(), line) {
+		t.Errorf("Run returned %v; got %d bytes, want no error and the line at the end", err, out.Len())
+	}
+	if out.longest > pipeBytes {
+		t.Errorf("got a write of several lines with %d bytes, want at most %d", out.longest, pipeBytes)
+	}
+}
--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -164,6 +164,16 @@
 	maxReportLoads    = 24
 )
 
+// MergeLeaving applies the leaving targets reported by a peer.
+func (d *Dispatcher) MergeLeaving(leaving []peer.LeavingTarget) {
+	now := d.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range leaving {
+		d.placer.MarkLeaving(now, t.Target)
+	}
+}
+
 // MergeSuspects adds the suspects reported by a peer.
 func (d *Dispatcher) MergeSuspects(suspects []peer.Suspect) {
 	now := d.Clock.Now()
--- a/internal/entry/hostrows.go
+++ b/internal/entry/hostrows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -25,6 +26,9 @@
 
 	mu    sync.Mutex
 	hosts map[string]platform.Host
+	// written is set once the row of this host is confirmed, until a complete table lacks
+	// it.
+	written bool
 }
 
 // rowWriter is the subset of the table service that hostRows uses.
@@ -56,6 +60,10 @@
 		}
 		r.hosts[name] = host
 	}
+	if _, listed := r.hosts[r.Self.Name]; full && r.written && !listed {
+		r.written = false
+		r.Log.Warn().Str("part", "entry").Msg("entry: the shared table lacks the row of this host, writing it again")
+	}
 }
 
 // Hosts returns the known entry hosts.
@@ -69,8 +77,33 @@
 	return hosts, nil
 }
 
-// Run writes the row of this host and retries until the write is confirmed.
+// missing reports whether the row of this host has to be written.
+func (r *hostRows) missing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.written
+}
+
+// rewriteSpread is the time over which the hosts spread the writes of their rows when
+// the table service has lost them.
+const rewriteSpread = time.Second
+
+// Run writes the row of this host, and again when the table service has lost it. It
+// retries until the write is confirmed.
 func (r *hostRows) Run(ctx context.Context) error {
+	if err := r.write(ctx); err != nil {
+		return err
+	}
+	clock.Every(ctx, r.Clock, expireInterval, func(ctx context.Context) {
+		if r.missing() && clock.Sleep(ctx, r.Clock, time.Duration(rank(r.Self.Name)*float64(rewriteSpread))) == nil {
+			_ = r.write(ctx) // The row was encoded before, and failed writes are logged.
+		}
+	})
+	return nil
+}
+
+// write writes the row of this host until that is confirmed or ctx ends.
+func (r *hostRows) write(ctx context.Context) error {
 	value, err := json.Marshal(r.Self)
 	if err != nil {
 		return err
@@ -80,6 +113,9 @@
 			Writes: []platform.Write{{Table: platform.SharedTable, Key: hostPrefix + r.Self.Name, Value: value}},
 		})
 		if err == nil {
+			r.mu.Lock()
+			r.written = true
+			r.mu.Unlock()
 			return nil
 		}
 		r.Log.Warn().Str("part", "entry").Err(err).Msg("entry: writing the row of this host failed, retrying")
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -43,6 +43,7 @@
 func (s *Reader) Next() (Event, error) {
 	event := Event{ID: NoID}
 	continued := false
+	blank := 0
 	for {
 		line, err := s.r.ReadSlice('\n')
 		lineStart := !continued
@@ -61,6 +62,9 @@
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			if len(bytes.TrimSpace(event.Raw)) == 0 {
+				if blank += len(event.Raw); blank > maxEventBytes {
+					return Event{}, fmt.Errorf("blank lines are longer than the limit of %d bytes", maxEventBytes)
+				}
 				event.Raw = event.Raw[:0]
 				continue
 			}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -52,6 +52,9 @@
 	// pendingRemovals are the targets that may register again, with the time at
 	// which each removal was received.
 	pendingRemovals map[string]time.Time
+	// leaving maps targets that said that they are leaving to the start time of the
+	// process that said so.
+	leaving map[string]int64
 	// availableAt is when the table service became available again after the last
 	// outage, graceUntil the end of the registration grace that starts then.
 	graceUntil  time.Time
@@ -64,7 +67,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{targets: map[string]Target{}, pendingRemovals: map[string]time.Time{}, changed: make(chan struct{}, 1)}
+	return &View{targets: map[string]Target{}, pendingRemovals: map[string]time.Time{}, leaving: map[string]int64{}, changed: make(chan struct{}, 1)}
 }
 
 // Changed returns a channel that receives a value after one or more changes.
@@ -103,18 +106,42 @@
 	}
 }
 
+// MarkLeaving records that a process of a target said that it is leaving, and reports
+// whether that is new. Rows of the same process no longer make the target usable.
+func (v *View) MarkLeaving(id string, started int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t, known := v.targets[id]
+	if !known || t.Started != started || t.Leaving {
+		return false
+	}
+	v.leaving[id] = started
+	t.Leaving = true
+	v.targets[id] = t
+	v.notify()
+	return true
+}
+
 // Put adds or updates a listed target and reports whether it changed. A change of
 // FailureDomain alone doesn't count. A late update from an earlier process with the
-// same id only cancels a pending removal.
+// same id is ignored. A process that was leaving stays so.
 func (v *View) Put(t Target) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.loaded = true
-	delete(v.pendingRemovals, t.ID)
 	old, known := v.targets[t.ID]
 	if known && t.Started < old.Started {
 		return false
 	}
+	delete(v.pendingRemovals, t.ID)
+	if started, said := v.leaving[t.ID]; said && started == t.Started {
+		t.Leaving = true
+	} else {
+		delete(v.leaving, t.ID)
+	}
+	if t.Leaving && t.Started != 0 {
+		v.leaving[t.ID] = t.Started
+	}
 	v.targets[t.ID] = t
 	same := known && old.Service == t.Service && old.Address == t.Address && old.Leaving == t.Leaving &&
 		old.Started == t.Started && old.Slots == t.Slots && maps.Equal(old.Versions, t.Versions)
@@ -136,11 +163,17 @@
 		v.pendingRemovals[id] = now
 		return false
 	}
-	delete(v.targets, id)
+	v.forget(id)
 	v.notify()
 	return true
 }
 
+// forget deletes a target. The caller must hold v.mu.
+func (v *View) forget(id string) {
+	delete(v.targets, id)
+	delete(v.leaving, id)
+}
+
 // Replace applies the full list of targets and returns the ids of the removed
 // targets.
 func (v *View) Replace(now time.Time, targets []Target) (removed []string) {
@@ -175,7 +208,7 @@
 			continue
 		}
 		delete(v.pendingRemovals, id)
-		delete(v.targets, id)
+		v.forget(id)
 		removed = append(removed, id)
 	}
 	slices.Sort(removed)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -36,6 +37,8 @@
 	// fetchEnd is when reads from stores end, in milliseconds on the clock of the
 	// targets; 0 if nothing is read from a store.
 	fetchEnd int64
+	// failed is set if the answer passed on is a failure of the target.
+	failed bool
 }
 
 // placementRequest returns the input of placement for a request.
@@ -86,6 +89,7 @@
 // cacheNamespace returns the cache namespace of a request: one for each version
 // of the weights and, if the client account is isolated, for each account.
 func cacheNamespace(w *work.Work, version string) string {
+	version = url.PathEscape(version)
 	if w.Isolated {
 		return "account/" + w.Account + "/" + version
 	}
@@ -98,8 +102,14 @@
 	return prefix.Key(sum[:len(prefix.Key{})])
 }
 
+// noChoice is why a request has no target now, and when that changes, if it is known.
+type noChoice struct {
+	why   string
+	until time.Time
+}
+
 // choose places a request, or returns why no target can be used.
-func (g *Gateway) choose(req *placement.Request, w *work.Work) (*attempt, string) {
+func (g *Gateway) choose(req *placement.Request, w *work.Work) (*attempt, noChoice) {
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -110,14 +120,14 @@
 		at = g.chooseWeights(now, req, w)
 	}
 	if at == nil {
-		return nil, "no target has loaded weights that requests may still use"
+		return nil, noChoice{why: "no target has loaded weights that requests may still use"}
 	}
 	if at.decision.Target == "" {
-		return nil, refusal(&at.decision, req)
+		return nil, noChoice{refusal(&at.decision, req), at.decision.QuietUntil}
 	}
 	t, ok := g.Fleet.Find(at.decision.Target)
 	if !ok {
-		return nil, "the chosen target has just been removed from the list of targets"
+		return nil, noChoice{why: "the chosen target has just been removed from the list of targets"}
 	}
 	at.target = t
 	req.Version = at.version
@@ -126,7 +136,7 @@
 		g.planTransfers(w, at)
 	}
 	at.ticket = g.placer.Start(now, req, &at.decision)
-	return at, ""
+	return at, noChoice{}
 }
 
 // refusal describes why a decision names no target, with the values involved.
@@ -136,6 +146,8 @@
 		return fmt.Sprintf("the least used target's memory would be %.2f full, the limit is %.2f", d.MemoryTaken, req.MaxMemoryShare)
 	case placement.ReasonNoLongSlot:
 		return "no target has a free slot for a long answer"
+	case placement.ReasonQuiet:
+		return "every usable target asked this host to send nothing for some time"
 	default:
 		return "no target is listed, ready and usable"
 	}
@@ -264,17 +276,12 @@
 	g.placer.RecordTokens(g.Clock.Now(), &at.ticket, n)
 }
 
-func (g *Gateway) recordOutcome(at *attempt, failed bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.placer.RecordOutcome(g.Clock.Now(), at.target.ID, failed)
-}
-
-func (g *Gateway) recordSuccess(at *attempt) {
+// recordAnswered records an attempt whose answer was passed on.
+func (g *Gateway) recordAnswered(at *attempt) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.avoidFactors, at.target.ID)
-	g.placer.RecordOutcome(g.Clock.Now(), at.target.ID, false)
+	g.placer.RecordOutcome(g.Clock.Now(), at.target.ID, at.failed)
 }
 
 // maxAvoidFactor is the maximum multiple of AvoidFor for which a target is
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -28,11 +28,11 @@
 		prepare(g)
 		w := storeWork("w1")
 		req := g.placementRequest(w)
-		at, why := g.choose(&req, w)
+		at, none := g.choose(&req, w)
 		if at != nil {
 			t.Errorf("placed on %s, want a refusal: %s", at.decision.Target, want)
 		}
-		if diff := cmp.Diff(want, why); diff != "" {
+		if diff := cmp.Diff(want, none.why); diff != "" {
 			t.Errorf("cause (-want +got):\n%s", diff)
 		}
 	}
--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -55,6 +55,8 @@
 	// Gap reports whether events are missing.
 	Gap    bool
 	Events []CacheEvent
+	// Notice is what the answer says about the target or store itself.
+	Notice Notice
 	// DecodeErr is the error for an event that could not be decoded, or nil. Such
 	// an event is omitted.
 	DecodeErr error
@@ -132,8 +134,13 @@
 		if !ok {
 			return
 		}
+		if quiet := g.quietFor(id); quiet > 0 {
+			_ = clock.Sleep(ctx, g.Clock, quiet) // The loop checks ctx.
+			continue
+		}
 		wait, pause := g.pollTiming(g.pollLimit(t.Service))
 		events, err := caller.CacheEvents(ctx, t.Address, since, wait)
+		g.applyNotice(t, events.Notice)
 		if err != nil {
 			g.count("cacheEvents.failed")
 			pause = pollRetryPause
@@ -146,6 +153,13 @@
 	}
 }
 
+// quietFor returns how long a target still wants no calls from this host.
+func (g *Gateway) quietFor(id string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placer.QuietUntil(id).Sub(g.Clock.Now())
+}
+
 // logDecodeErr counts and logs an event that could not be decoded.
 func (g *Gateway) logDecodeErr(source string, err error) {
 	if err != nil {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -61,12 +61,16 @@
 	// hang makes the reply block until the attempt ends, instead of returning
 	// last.
 	hang bool
+	// notice is what the answer says about its target.
+	notice gateway.Notice
 }
 
 func (r *fakeReply) Head() work.Head {
 	return work.Head{Status: r.status, Header: http.Header{"Seal": {"s"}}}
 }
 
+func (r *fakeReply) Notice() gateway.Notice { return r.notice }
+
 func (r *fakeReply) Next() (eventstream.Event, error) {
 	if len(r.events) == 0 {
 		if r.hang {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,8 @@
 	// which it was last avoided. The entry is removed when the target answers.
 	avoidFactors map[string]int
 	stores       map[string]*cacheStore
+	// leaving contains the latest targets that said in an answer that they are leaving.
+	leaving []leavingTarget
 	// bytesPerToken is the size of a cached token on the engines, and fetchRate
 	// the bandwidth of their links in bytes per second.
 	bytesPerToken, fetchRate float64
--- a/internal/gateway/obsolete.go
+++ b/internal/gateway/obsolete.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -32,12 +33,15 @@
 // namespaceVersion returns the model and the version of the weights of a
 // namespace.
 func namespaceVersion(namespace string) (model string, version int64, ok bool) {
-	name := namespace[strings.LastIndexByte(namespace, '/')+1:]
+	name, err := url.PathUnescape(namespace[strings.LastIndexByte(namespace, '/')+1:])
+	if err != nil {
+		return "", 0, false
+	}
 	at := strings.LastIndexByte(name, '@')
 	if at < 0 {
 		return "", 0, false
 	}
-	version, err := strconv.ParseInt(name[at+1:], 10, 64)
+	version, err = strconv.ParseInt(name[at+1:], 10, 64)
 	return name[:at], version, err == nil
 }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -156,11 +156,13 @@
 	return minDelay + time.Duration(r.g.rng.Int64N(int64(minDelay)+1))
 }
 
-func (r *run) noTarget(why string) *failure.Error {
+// noTarget returns the failure of a request for which no target can be used. wait is
+// the time until one can be used, if it is known and above zero.
+func (r *run) noTarget(why string, wait time.Duration) *failure.Error {
 	if r.lastErr != nil && r.possibleRuns > 0 {
 		return failure.MaybeRun(failure.TargetFailed, "no other target can be used after: %v", r.lastErr)
 	}
-	return failure.Busy(failure.NoTarget, r.retryAfter(), "no target of service %s can be used: %s", r.work.Service, why)
+	return failure.Busy(failure.NoTarget, max(0, wait)+r.retryAfter(), "no target of service %s can be used: %s", r.work.Service, why)
 }
 
 // uncountUnsent subtracts an attempt that did not reach a target from
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -46,6 +46,7 @@
 	defer g.mu.Unlock()
 	report := peer.Report{RequestsInFlight: g.Active(), Loads: g.placer.Loads(now, maxReportLoads)}
 	report.Suspects = peer.SuspectsOf(now, &g.suspects, maxReportSuspects)
+	report.Leaving = g.reportLeaving(now)
 	return report
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -16,16 +17,14 @@
 		return err
 	}
 	head := reply.Head()
-	if head.Status >= http.StatusInternalServerError && r.begun {
-		return &BrokenError{Sent: true, Err: errors.New("the target failed to resume the stream")}
+	if r.begun {
+		return &BrokenError{Sent: true, Err: fmt.Errorf("the target answered with status %d instead of resuming the stream", head.Status)}
 	}
 	if head.Status >= http.StatusInternalServerError && r.takeRetry() {
 		return &retryableAnswerError{status: head.Status}
 	}
 	r.g.recordFirstToken(at)
-	if head.Status >= http.StatusInternalServerError {
-		r.g.recordOutcome(at, true)
-	}
+	at.failed = head.Status >= http.StatusInternalServerError
 	r.recordDone(at, head.Status)
 	r.callerGone(r.sink.Answer(head, body))
 	return nil
@@ -45,10 +44,10 @@
 		if err != nil {
 			return &BrokenError{Sent: true, Lost: true, Err: err}
 		}
-		wd.reset()
 		if event.ID != eventstream.NoID && event.ID <= r.lastID {
 			continue
 		}
+		wd.reset()
 		if !r.begun {
 			r.g.recordFirstToken(at)
 			if !r.beginStream(reply) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -84,14 +84,15 @@
 	begin := r.g.Clock.Now()
 	maxWait := min(r.work.Route.Goal, r.work.Deadline.Sub(begin)) / maxWaitDivisor
 	for {
-		at, why := r.g.choose(&r.request, r.work)
+		at, none := r.g.choose(&r.request, r.work)
 		if at != nil {
 			r.attempts++
 			r.logPlacement(at)
 			return at, nil
 		}
-		if r.g.Clock.Now().Sub(begin) >= maxWait {
-			return nil, r.noTarget(why)
+		// There is no point in waiting for targets that stay quiet for longer.
+		if now := r.g.Clock.Now(); now.Sub(begin) >= maxWait || none.until.Sub(begin) > maxWait {
+			return nil, r.noTarget(none.why, none.until.Sub(now))
 		}
 		if clock.Sleep(ctx, r.g.Clock, placeRetryPause) != nil {
 			return nil, r.contextFailure(ctx)
@@ -122,10 +123,12 @@
 	r.possibleRuns++
 	reply, err := r.g.Targets.Send(ctx, r.call(at))
 	if err != nil {
+		r.g.applyNotice(at.target, noticeOf(err))
 		r.uncountUnsent(err)
 		return r.recordEnd(ctx, at, err)
 	}
 	defer reply.Close()
+	r.g.applyNotice(at.target, reply.Notice())
 	head := reply.Head()
 	if r.work.Route.Kind == Stream && head.Status == http.StatusOK {
 		return r.recordEnd(ctx, at, r.relayStream(at, reply, wd))
@@ -150,7 +153,7 @@
 // caller disconnected or the deadline passed.
 func (r *run) recordEnd(ctx context.Context, at *attempt, err error) error {
 	if err == nil {
-		r.g.recordSuccess(at)
+		r.g.recordAnswered(at)
 		return nil
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -327,3 +328,97 @@
 		}
 	}
 }
+
+// A target that answers a resumed stream with a complete answer, whatever its status,
+// has not resumed it: nothing of that answer may reach the caller, and the stream must
+// not end as complete.
+func TestAnswerIsNotAppendedToStream(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusConflict, http.StatusInternalServerError} {
+		f := newFixture(t, stream(1, 3, broken), answer(status, "gone"))
+		item := request(routing.Stream, 2)
+		item.Route.Resumable = true
+		if s := f.serve(item); s.body != "123" || !s.aborted {
+			t.Errorf("status %d: got %q, aborted %t; want 123, aborted true", status, s.body, s.aborted)
+		}
+	}
+}
+
+// noticed answers with a complete answer that carries a notice.
+func noticed(n gateway.Notice) step {
+	return func(context.Context, *gateway.Call) (gateway.Reply, error) {
+		return &fakeReply{status: http.StatusOK, body: "yes", notice: n}, nil
+	}
+}
+
+// A target that says in any answer that it is leaving must get no further request from
+// this host, also if its row in the list is written again, and none from a host that
+// learns of it in a report. A new process of the target gets requests.
+func TestLeavingTargetGetsNoRequests(t *testing.T) {
+	refusal := &gateway.NotRunError{Status: http.StatusServiceUnavailable, Notice: gateway.Notice{Leaving: true}}
+	failure := &gateway.BrokenError{Sent: true, Err: errors.New("status 500"), Notice: gateway.Notice{Leaving: true}}
+	for name, first := range map[string]step{"answer": noticed(gateway.Notice{Leaving: true}), "refusal": fails(refusal), "failure": fails(failure)} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, first, answer(http.StatusOK, "yes"))
+			f.serve(request(routing.NonIdempotent, 1))
+			left := f.targets.calls[0].Target
+			f.Fleet.Put(left)
+			f.TargetsChanged()
+			other := newFixture(t, answer(http.StatusOK, "yes"))
+			other.MergeLeaving(f.PeerReport().Leaving)
+			for range 20 {
+				f.serve(request(routing.NonIdempotent, 1))
+				other.serve(request(routing.NonIdempotent, 1))
+			}
+			for _, id := range append(f.targets.targets()[1:], other.targets.targets()...) {
+				if id == left.ID {
+					t.Fatalf("target %s got a request after it had said that it is leaving", id)
+				}
+			}
+			left.Started++
+			f.Fleet.Replace(time.Now(), []fleet.Target{left})
+			f.TargetsChanged()
+			f.serve(request(routing.NonIdempotent, 1))
+			if !slices.Contains(f.targets.targets()[1:], left.ID) {
+				t.Errorf("the new process of target %s got no request", left.ID)
+			}
+		})
+	}
+}
+
+// A target that asks this host for a time without requests must get none for so long,
+// also after a swap, and requests again afterwards. If all targets do, requests are
+// refused at once with the time that is left.
+func TestQuietTargetGetsNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const quiet = 3 * time.Second
+		full := fails(&gateway.NotRunError{Status: http.StatusServiceUnavailable, RetryAfter: quiet, Notice: gateway.Notice{QuietFor: quiet}})
+		f := newFixture(t, full)
+		f.Config.Retries.MaxAttempts = 1
+		began := time.Now()
+		for range 3 {
+			f.serve(request(routing.NonIdempotent, 1))
+		}
+		if distinct(f.targets.targets()) != 3 {
+			t.Fatalf("requests went to %v, want each to another target", f.targets.targets())
+		}
+		f.SetSwapping([]string{"d1", "d2", "d3"}, nil)
+		f.SetSwapping(nil, nil)
+		for time.Since(began) < quiet-100*time.Millisecond {
+			sent := time.Now()
+			s := f.serve(request(routing.NonIdempotent, 1))
+			left := quiet - sent.Sub(began)
+			if s.refused == nil || !s.refused.NotRun || time.Since(sent) > 0 || s.refused.RetryAfter < left {
+				t.Fatalf("got %+v after %s, want a refusal at once with a delay of at least %s", s.refused, time.Since(sent), left)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if calls := len(f.targets.calls); calls != 3 {
+			t.Errorf("%d calls within the quiet time, want 3", calls)
+		}
+		time.Sleep(quiet)
+		f.serve(request(routing.NonIdempotent, 1))
+		if calls := len(f.targets.calls); calls != 4 {
+			t.Errorf("%d calls after the quiet time, want 4", calls)
+		}
+	})
+}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -38,9 +38,19 @@
 	After int64
 }
 
+// Notice is what an answer of a target says about the target itself.
+type Notice struct {
+	// Leaving reports that the target is leaving.
+	Leaving bool
+	// QuietFor is how long the target wants no further calls from this host, 0 if it
+	// does not say.
+	QuietFor time.Duration
+}
+
 // Reply is the answer to a Call. It must be closed.
 type Reply interface {
 	Head() work.Head
+	Notice() Notice
 	// Next returns the next event of a stream, or io.EOF at its end. Any other
 	// error means that the stream is incomplete.
 	Next() (eventstream.Event, error)
@@ -66,6 +76,7 @@
 	// none.
 	RetryAfter time.Duration
 	Status     int
+	Notice     Notice
 }
 
 // Error describes the refusal.
@@ -78,8 +89,9 @@
 	Sent bool
 	// Lost reports whether the connection was lost during the request, as it is
 	// when the target crashes.
-	Lost bool
-	Err  error
+	Lost   bool
+	Err    error
+	Notice Notice
 }
 
 // Error describes the cause.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -55,6 +55,27 @@
 	// validUntil is when this host must stop acting as the holder.
 	validUntil time.Time
 	known      bool
+	// era is the era of the table service to which version belongs. restoredAt is when
+	// this host learned of it, zero while no era is known.
+	era        int64
+	restoredAt time.Time
+}
+
+// Era returns the era of the table service that this host knows of.
+func (s *State) Era() int64 { return s.era }
+
+// EnterEra records that the table service was restored from an older copy. What the
+// lost row granted is no longer known: this host stops acting as the holder, and no host
+// may take the lease before a holder of the earlier era has stopped.
+func (s *State) EnterEra(now time.Time, era int64) {
+	if era <= s.era {
+		return
+	}
+	// This also holds for the first era that a host sees, since it may have started just
+	// after the restore.
+	s.era, s.restoredAt = era, now
+	s.version, s.known = 0, false
+	s.validUntil = time.Time{}
 }
 
 // Observe applies the row as read or received at now. An absent row has
@@ -67,6 +88,7 @@
 		s.seenAt = now
 	}
 	s.known = true
+	r.FencingToken = max(r.FencingToken, s.record.FencingToken)
 	s.record = r
 	s.version = version
 	if !s.ownsRow() {
@@ -106,7 +128,7 @@
 // row is absent, if it names this host, or if it has been unchanged for so long
 // that its holder no longer acts. It may not while the content of the row is unknown.
 func (s *State) MayTake(now time.Time) bool {
-	if !s.known {
+	if !s.known || (!s.restoredAt.IsZero() && now.Sub(s.restoredAt) <= s.TTL+s.QuietPeriod) {
 		return false
 	}
 	return s.version == 0 || s.record.Holder == s.Host || now.Sub(s.seenAt) > s.TTL+s.QuietPeriod
@@ -116,12 +138,17 @@
 // which the write depends.
 func (s *State) Next(busy, pending []string) (r Record, version int64) {
 	r = Record{Holder: s.Host, Incarnation: s.Incarnation, FencingToken: s.record.FencingToken, Busy: busy, Pending: pending}
-	if !s.ownsRow() {
+	if !s.ownsRow() || s.validUntil.IsZero() {
 		r.FencingToken++
 	}
+	// The token of a later era is higher, also on hosts that know no earlier one.
+	r.FencingToken = max(r.FencingToken, s.era<<eraShift)
 	return r, s.version
 }
 
+// eraShift separates the fencing tokens of different eras.
+const eraShift = 32
+
 // FencingToken returns the fencing token of the present holder.
 func (s *State) FencingToken() int64 { return s.record.FencingToken }
 
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -23,6 +23,46 @@
 type TableProvider interface {
 	Scan(ctx context.Context, s platform.Scan) ([]platform.Row, error)
 	Commit(ctx context.Context, tx platform.Transaction) error
+	// Era returns the era of the table service, see platform.Position.
+	Era() int64
+}
+
+// keepFor is how long written batches are kept in memory, so that they can be written
+// again if the table service is restored from an older copy. Such a copy is some seconds
+// old.
+const keepFor = time.Minute
+
+// KeptBatches are written batches, which a restored table service may lack. The zero
+// value is empty. It is not safe for concurrent use.
+type KeptBatches struct {
+	era  int64
+	kept []keptBatch
+}
+
+type keptBatch struct {
+	batch     *Batch
+	writtenAt time.Time
+}
+
+// Add keeps a batch that was written at now.
+func (k *KeptBatches) Add(now time.Time, batch *Batch) {
+	k.kept = append(k.kept, keptBatch{batch, now})
+}
+
+// Lost returns the batches that have to be written again, which are all kept ones when
+// the table service has entered a new era. They are no longer kept.
+func (k *KeptBatches) Lost(now time.Time, era int64) []*Batch {
+	k.kept = slices.DeleteFunc(k.kept, func(b keptBatch) bool { return now.Sub(b.writtenAt) > keepFor })
+	if era <= k.era {
+		return nil
+	}
+	k.era = era
+	lost := make([]*Batch, 0, len(k.kept))
+	for _, b := range k.kept {
+		lost = append(lost, b.batch)
+	}
+	k.kept = nil
+	return lost
 }
 
 // BatchMirror stores copies of sealed batches on another host.
@@ -60,7 +100,9 @@
 	sealed   []*Batch
 	buffered int
 	number   int64
-	flushMu  sync.Mutex
+	// kept are the batches written lately.
+	kept    KeptBatches
+	flushMu sync.Mutex
 }
 
 // Add records one placement.
@@ -125,6 +167,7 @@
 	defer w.flushMu.Unlock()
 	w.mu.Lock()
 	w.seal()
+	w.restoreLost()
 	w.mu.Unlock()
 	for {
 		batch := w.firstSealed()
@@ -140,10 +183,29 @@
 		w.mu.Lock()
 		w.sealed = w.sealed[1:]
 		w.buffered -= len(batch.Rows)
+		w.kept.Add(w.Clock.Now(), batch)
 		w.mu.Unlock()
 	}
 }
 
+// restoreLost adds the batches that a restored table service lacks to the sealed ones.
+// The lock must be held.
+func (w *Writer) restoreLost() {
+	lost := w.kept.Lost(w.Clock.Now(), w.Table.Era())
+	if len(lost) == 0 {
+		return
+	}
+	rows := 0
+	for _, batch := range lost {
+		batch.mirrored = false
+		rows += len(batch.Rows)
+	}
+	w.sealed = append(lost, w.sealed...)
+	w.buffered += rows
+	w.Log.Warn().Str("part", "ledger").Int64("era", w.Table.Era()).Int("batches", len(lost)).Int("rows", rows).
+		Msg("ledger: table service restored from an older copy, writing batches again")
+}
+
 // Mirrored reports whether every unwritten row has a copy on another host.
 func (w *Writer) Mirrored() bool {
 	w.mu.Lock()
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -221,6 +221,9 @@
 		if err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&answer); err != nil {
 			return "", 0, false, nil //nolint:nilerr // A truncated answer counts as wrong, not as failed.
 		}
+		if len(answer.Choices) == 0 {
+			return "", 0, false, nil
+		}
 		return answer.Choices[0].Message.Content, g.Clock.Now().Sub(start), true, nil
 	}
 	var received strings.Builder
--- a/internal/peer/batches.go
+++ b/internal/peer/batches.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	batches map[string]*ledger.Batch
 	rows    int
+	// written are the batches of other hosts that this host has written.
+	written ledger.KeptBatches
 }
 
 // add stores a copy of a batch, and returns false when the limit is reached.
@@ -77,6 +79,12 @@
 // therefore can't write them itself. After a failed write it stops until the next
 // interval.
 func (g *Group) writeBatches(ctx context.Context) {
+	g.batches.mu.Lock()
+	lost := g.batches.written.Lost(g.Clock.Now(), g.Ledger.Era())
+	g.batches.mu.Unlock()
+	for _, batch := range lost {
+		g.batches.add(batch)
+	}
 	for _, batch := range g.batches.list() {
 		if g.isLive(batch.Host, batch.Incarnation) {
 			continue
@@ -85,6 +93,9 @@
 			return
 		}
 		g.batches.remove(batch.Key())
+		g.batches.mu.Lock()
+		g.batches.written.Add(g.Clock.Now(), batch)
+		g.batches.mu.Unlock()
 	}
 }
 
@@ -109,7 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, err = wire.NewPeerProtobufClient(holder.URL, g.HTTP).KeepBatch(ctx, &wire.KeepBatchRequest{Batch: data})
+	_, err = wire.NewPeerProtobufClient(holder.URL, g.client).KeepBatch(ctx, &wire.KeepBatchRequest{Batch: data})
 	return err
 }
 
@@ -123,7 +134,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	_, _ = wire.NewPeerProtobufClient(holder.URL, g.HTTP).ReleaseBatch(ctx, &wire.ReleaseBatchRequest{Key: batch.Key()})
+	_, _ = wire.NewPeerProtobufClient(holder.URL, g.client).ReleaseBatch(ctx, &wire.ReleaseBatchRequest{Key: batch.Key()})
 }
 
 // batchHolder returns the peer to which this host currently sends copies of its
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -52,6 +52,8 @@
 	PeerReport() Report
 	// MergeSuspects adds the suspects that a peer reported.
 	MergeSuspects(suspects []Suspect)
+	// MergeLeaving applies the leaving targets that a peer reported.
+	MergeLeaving(leaving []LeavingTarget)
 }
 
 // PoolDecider admits and places requests of other hosts as the owner of a pool.
@@ -104,6 +106,9 @@
 	// Ready reports whether the balancer may send requests to this host.
 	Ready func() bool
 
+	// client calls peers. It is HTTP with a limit on answers.
+	client *http.Client
+
 	mu      sync.Mutex
 	rng     *rand.Rand
 	members *membership.Table
@@ -131,6 +136,7 @@
 	if g.LoadMaxAge == 0 {
 		g.LoadMaxAge = reportMaxAge
 	}
+	g.client = limited(g.HTTP)
 	g.rng = rand.New(rand.NewPCG(uint64(g.Self.Incarnation), 1))
 	g.members = membership.NewTable(g.Self, params)
 	g.reports = map[string]receivedReport{}
@@ -230,7 +236,7 @@
 	sentAt := g.Clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	response, err := wire.NewPeerProtobufClient(url, g.HTTP).Exchange(callCtx, request)
+	response, err := wire.NewPeerProtobufClient(url, g.client).Exchange(callCtx, request)
 	if err == nil {
 		err = g.receive(sentAt, response.From, response.Report, response.Updates, true)
 	}
@@ -247,8 +253,8 @@
 	report := g.Local.PeerReport()
 	report.Ready = g.Ready()
 	if g.Tables != nil {
-		for table, version := range g.Tables.NewestVersions() {
-			report.Tables = append(report.Tables, TableVersion{Table: table, Version: version})
+		for table, position := range g.Tables.NewestPositions() {
+			report.Tables = append(report.Tables, TableVersion{Table: table, Position: position})
 		}
 	}
 	if g.Records == nil {
@@ -308,6 +314,7 @@
 		g.Records.Wake()
 	}
 	g.Local.MergeSuspects(decoded.Suspects)
+	g.Local.MergeLeaving(decoded.Leaving)
 	return nil
 }
 
@@ -357,7 +364,7 @@
 	var lastErr error
 	for _, m := range candidates {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		response, err := wire.NewPeerProtobufClient(m.URL, g.HTTP).Catchup(ctx, &wire.CatchupRequest{Since: since})
+		response, err := wire.NewPeerProtobufClient(m.URL, g.client).Catchup(ctx, &wire.CatchupRequest{Since: since})
 		cancel()
 		if err == nil {
 			return decodeCatchup(response)
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -13,6 +13,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/membership"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/retry"
 )
 
@@ -23,6 +24,7 @@
 	maxLoads     = 16384
 	maxSuspects  = 256
 	maxUpdates   = 256
+	maxLeaving   = 256
 	// unknownContact is the value of ContactAgeMillis while no contact is known.
 	unknownContact = -1
 )
@@ -44,6 +46,15 @@
 	Loads    []placement.TargetLoad
 	Suspects []Suspect
 	Tables   []TableVersion
+	// Leaving are targets whose answers say that they are leaving.
+	Leaving []LeavingTarget
+}
+
+// LeavingTarget is a process of a target that is leaving. Started is its start time in
+// Unix milliseconds, 0 if unknown.
+type LeavingTarget struct {
+	Target  string
+	Started int64
 }
 
 // AccountDemand is the demand of a client account on one host.
@@ -104,7 +115,10 @@
 		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: s.Fingerprint, Crashes: int32(s.Crashes), AgeMillis: s.Age.Milliseconds()})
 	}
 	for _, t := range r.Tables {
-		encoded.Tables = append(encoded.Tables, &wire.TableVersion{Table: t.Table, Version: t.Version})
+		encoded.Tables = append(encoded.Tables, &wire.TableVersion{Table: t.Table, Version: t.Version, Era: t.Era})
+	}
+	for _, t := range r.Leaving {
+		encoded.Leaving = append(encoded.Leaving, &wire.LeavingTarget{Target: t.Target, Started: t.Started})
 	}
 	return encoded
 }
@@ -114,8 +128,8 @@
 	if w == nil {
 		return Report{}, errors.New("peer report: missing from the message")
 	}
-	if len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects || len(w.Tables) > maxTables {
-		return Report{}, errors.New("peer report: more demands, loads, suspects or tables than allowed")
+	if len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects || len(w.Tables) > maxTables || len(w.Leaving) > maxLeaving {
+		return Report{}, errors.New("peer report: more demands, loads, suspects, tables or leaving targets than allowed")
 	}
 	if w.Revision < 0 || w.HighestRevision < w.Revision || w.RequestsInFlight < 0 {
 		return Report{}, fmt.Errorf("peer report: a revision or the number of requests in flight is out of range: revision %d, highest revision %d", w.Revision, w.HighestRevision)
@@ -129,7 +143,13 @@
 		Ready:            w.Ready,
 	}
 	for _, t := range w.Tables {
-		r.Tables = append(r.Tables, TableVersion{Table: t.Table, Version: t.Version})
+		r.Tables = append(r.Tables, TableVersion{Table: t.Table, Position: platform.Position{Era: t.Era, Version: t.Version}})
+	}
+	for _, t := range w.Leaving {
+		if len(t.Target) > maxNameBytes {
+			return Report{}, fmt.Errorf("peer report: the name of leaving target %.40q is too long", t.Target)
+		}
+		r.Leaving = append(r.Leaving, LeavingTarget{Target: t.Target, Started: t.Started})
 	}
 	return r, errors.Join(r.decodeDemands(w.Demands), r.decodeLoads(w.Loads), r.decodeSuspects(w.Suspects))
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,7 +25,7 @@
 
 // Handler returns the HTTP interface for other entry hosts.
 func (g *Group) Handler() http.Handler {
-	return wire.NewPeerServer(&server{group: g})
+	return http.MaxBytesHandler(wire.NewPeerServer(&server{group: g}), maxMessageBytes)
 }
 
 // Exchange applies a peer's membership updates and report, and returns those of
--- a/internal/peer/tables.go
+++ b/internal/peer/tables.go
@@ -18,48 +18,48 @@
 
 // TableSource provides this host's copies of the tables that it follows.
 type TableSource interface {
-	// NewestVersions returns the highest row version of each table.
-	NewestVersions() map[string]int64
-	// RowsAfter returns the rows whose version is above after. It returns false for
-	// a table that is not followed or has not been read yet.
-	RowsAfter(table string, after int64) (platform.Page, bool)
+	// NewestPositions returns the position of the newest row of each table.
+	NewestPositions() map[string]platform.Position
+	// RowsAfter returns the rows later than after, or the complete table if after is of
+	// an earlier era. It returns false for a table that is not followed or has not been
+	// read yet.
+	RowsAfter(table string, after platform.Position) (platform.Page, bool)
 }
 
-// TableVersion is the highest row version that a host knows of a table.
+// TableVersion is the position of the newest row that a host knows of a table.
 type TableVersion struct {
-	Table   string
-	Version int64
+	Table string
+	platform.Position
 }
 
-// NewestPeerVersion returns the highest row version of a table that a live peer
-// has reported, or 0.
-func (g *Group) NewestPeerVersion(table string) int64 {
+// NewestPeerPosition returns the position of the newest row of a table that a live
+// peer has reported, or the zero position.
+func (g *Group) NewestPeerPosition(table string) platform.Position {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, version := g.newestPeer(table)
-	return version
+	_, newest := g.newestPeer(table)
+	return newest
 }
 
-// newestPeer returns the live peer that reported the highest row version of a
-// table, and that version. The caller must hold g.mu.
-func (g *Group) newestPeer(table string) (best membership.Member, newest int64) {
-	for _, m := range g.members.Members() {
-		received, ok := g.reports[m.Name]
-		if m.Name == g.Self.Name || !ok || m.Status != membership.Alive {
-			continue
-		}
+// newestPeer returns the live peer that reported the newest row of a table, and the
+// position of that row. The caller must hold g.mu.
+func (g *Group) newestPeer(table string) (best membership.Member, newest platform.Position) {
+	for name, received := range g.reports {
 		for _, v := range received.report.Tables {
-			if v.Table == table && v.Version > newest {
-				best, newest = m, v.Version
+			if v.Table != table || !v.Position.After(newest) {
+				continue
+			}
+			if m, known := g.members.Get(name); known && m.Status == membership.Alive {
+				best, newest = m, v.Position
 			}
 		}
 	}
 	return best, newest
 }
 
-// PeerRows returns the rows of a table whose version is above after, read from the
-// peer that reported the highest version.
-func (g *Group) PeerRows(ctx context.Context, table string, after int64) (platform.Page, error) {
+// PeerRows returns the rows of a table that are later than after, read from the peer
+// that reported the newest row.
+func (g *Group) PeerRows(ctx context.Context, table string, after platform.Position) (platform.Page, error) {
 	g.mu.Lock()
 	best, _ := g.newestPeer(table)
 	g.mu.Unlock()
@@ -68,11 +68,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	response, err := wire.NewPeerProtobufClient(best.URL, g.HTTP).Rows(ctx, &wire.RowsRequest{Table: table, After: after})
+	response, err := wire.NewPeerProtobufClient(best.URL, g.client).Rows(ctx, &wire.RowsRequest{Table: table, After: after.Version, Era: after.Era})
 	if err != nil {
 		return platform.Page{}, fmt.Errorf("reading rows from peer %s: %w", best.Name, err)
 	}
-	page := platform.Page{Version: response.Version}
+	page := platform.Page{Version: response.Version, Era: response.Era, Whole: response.Whole}
 	for _, data := range response.Rows {
 		var row platform.Row
 		if err := json.Unmarshal(data, &row); err != nil {
@@ -88,11 +88,11 @@
 	if s.group.Tables == nil {
 		return nil, twirp.NewError(twirp.Unimplemented, "this host follows no tables")
 	}
-	page, ok := s.group.Tables.RowsAfter(request.Table, request.After)
+	page, ok := s.group.Tables.RowsAfter(request.Table, platform.Position{Era: request.Era, Version: request.After})
 	if !ok {
 		return nil, twirp.NotFoundError("this host does not follow, or has not yet read, the table " + request.Table)
 	}
-	response := &wire.RowsResponse{Version: page.Version}
+	response := &wire.RowsResponse{Version: page.Version, Era: page.Era, Whole: page.Whole}
 	for _, row := range page.Rows {
 		data, err := json.Marshal(row)
 		if err != nil {
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -32,6 +32,7 @@
 
 func (e *environment) Hosts(context.Context) ([]platform.Host, error) { return e.hosts, nil }
 func (e *environment) MergeSuspects([]Suspect)                        {}
+func (e *environment) MergeLeaving([]LeavingTarget)                   {}
 func (e *environment) TargetLeaving(string)                           {}
 func (e *environment) ObserveFor(*wire.ObserveRequest)                {}
 func (e *environment) Current() *record.Set                           { return record.NewSet() }
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -68,6 +68,7 @@
 	ReasonNoTarget   Reason = "noTarget"
 	ReasonNoLongSlot Reason = "noLongSlot"
 	ReasonNoMemory   Reason = "noMemory"
+	ReasonQuiet      Reason = "quiet"
 )
 
 // Estimate is the expected time to first token on one target, by component.
@@ -119,6 +120,9 @@
 	// memory that would be in use on a target with the prompt of the request
 	// included.
 	MemoryTaken float64
+	// QuietUntil is valid if Reason is ReasonQuiet. It is when the first target accepts
+	// requests of this host again.
+	QuietUntil time.Time
 }
 
 // Ticket tracks one request on one target from its placement to its end.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -67,6 +67,8 @@
 	unreachable bool
 	avoidUntil  time.Time
 	drainUntil  time.Time
+	// quietUntil is until when the engine wants no requests of this host.
+	quietUntil time.Time
 	// failureShare is the share of recent requests that failed, as of
 	// failureShareAt.
 	failureShare   float64
@@ -138,6 +140,7 @@
 		e.incarnation = report.Incarnation
 		e.leaving = false
 		e.leavingAt = time.Time{}
+		e.quietUntil = time.Time{}
 	}
 	e.versions = report.Versions
 	// A delayed report must not revoke a newer MarkLeaving.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -48,12 +48,40 @@
 	b.refreshMedianSlowness(now, pool)
 	b.gatherCandidates(pool, req)
 	storedBlocks, storeLink := b.storedPrefix(req)
+	b.consider(now, pool, req, d, storedBlocks, storeLink)
+	if len(d.Considered) == 0 && len(pool.engines) > len(b.candidates) {
+		// A few candidates can all be unusable while others are not.
+		for _, e := range pool.engines {
+			b.addCandidate(e.number)
+		}
+		b.consider(now, pool, req, d, storedBlocks, storeLink)
+	}
+	if len(d.Considered) == 0 {
+		return
+	}
+	b.choose(now, req, d)
+	if d.Chosen.Source == SourceStore {
+		d.Store = storeLink.spec.Store
+		d.ImportBlocks = storedBlocks
+	}
+}
+
+// consider estimates the candidates that may run a request. If there are none, it sets
+// the reason.
+func (b *Placer) consider(now time.Time, pool *enginePool, req *Request, d *Decision, storedBlocks int, storeLink *link) {
 	longFull, memoryFull := false, false
+	d.QuietUntil = time.Time{}
 	for _, number := range b.candidates {
 		e := b.engines[number]
 		if !b.eligible(now, e, req) {
 			continue
 		}
+		if now.Before(e.quietUntil) {
+			if d.QuietUntil.IsZero() || e.quietUntil.Before(d.QuietUntil) {
+				d.QuietUntil = e.quietUntil
+			}
+			continue
+		}
 		if req.Long && e.longInFlight >= e.longSlots(b.params.LongSlotPercent) {
 			longFull = true
 			continue
@@ -67,19 +95,14 @@
 		}
 		d.Considered = append(d.Considered, b.estimate(now, pool, e, req, storedBlocks, storeLink))
 	}
-	if len(d.Considered) == 0 {
-		if longFull {
-			d.Reason = ReasonNoLongSlot
-		}
-		if memoryFull {
-			d.Reason = ReasonNoMemory
-		}
-		return
-	}
-	b.choose(now, req, d)
-	if d.Chosen.Source == SourceStore {
-		d.Store = storeLink.spec.Store
-		d.ImportBlocks = storedBlocks
+	switch {
+	case len(d.Considered) > 0:
+	case memoryFull:
+		d.Reason = ReasonNoMemory
+	case longFull:
+		d.Reason = ReasonNoLongSlot
+	case !d.QuietUntil.IsZero():
+		d.Reason = ReasonQuiet
 	}
 }
 
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -107,14 +107,19 @@
 	for _, e := range b.engines {
 		e.removed = true
 	}
+	// The known engines come first, so that none of them seems free for a new one.
+	var added []EngineSpec
 	for _, spec := range specs {
 		number, known := b.numbers[spec.Name]
-		if known {
-			b.engines[number].spec = spec
-			b.engines[number].removed = false
+		if !known {
+			added = append(added, spec)
 			continue
 		}
-		number = b.freeNumber()
+		b.engines[number].spec = spec
+		b.engines[number].removed = false
+	}
+	for _, spec := range added {
+		number := b.freeNumber()
 		e := newEngine(number, spec, now)
 		b.engines[number] = e
 		b.numbers[spec.Name] = number
@@ -221,6 +226,22 @@
 	}
 }
 
+// Quiet excludes a target from new requests until the given time, because the target
+// asked for that. Unlike Avoid, it isn't cancelled by Resume.
+func (b *Placer) Quiet(target string, until time.Time) {
+	if e := b.find(target); e != nil && until.After(e.quietUntil) {
+		e.quietUntil = until
+	}
+}
+
+// QuietUntil returns until when Quiet excludes a target, or the zero time.
+func (b *Placer) QuietUntil(target string) time.Time {
+	if e := b.find(target); e != nil {
+		return e.quietUntil
+	}
+	return time.Time{}
+}
+
 // Drain excludes a target from new long requests until the given time.
 func (b *Placer) Drain(target string, until time.Time) {
 	if e := b.find(target); e != nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,7 +16,11 @@
 )
 
 // maxAnswerBytes limits how much of an answer is read.
-const maxAnswerBytes = 64 << 20
+const maxAnswerBytes = 16 << 20
+
+// maxDrainBytes limits how much is read of the rest of an answer, so that its connection
+// can be used again. A longer rest closes the connection.
+const maxDrainBytes = 4 << 10
 
 // Client calls the platform's services over HTTP with JSON. Each call has a
 // timeout. Calls to the table service also count against the rate limits of this
@@ -37,6 +41,7 @@
 	readCount   atomic.Int64
 	writeCount  atomic.Int64
 	lastContact atomic.Int64
+	era         atomic.Int64
 }
 
 // Counts returns the number of calls sent to the table service.
@@ -54,6 +59,21 @@
 	return time.Unix(0, nanos)
 }
 
+// Era returns the highest era of the table service that any answer has stated, 0 if none
+// has.
+func (c *Client) Era() int64 { return c.era.Load() }
+
+// observeEra records the era that an answer states, and returns it.
+func (c *Client) observeEra(response *http.Response) int64 {
+	era := c.codec().Era(response.Header)
+	for {
+		known := c.era.Load()
+		if era <= known || c.era.CompareAndSwap(known, era) {
+			return era
+		}
+	}
+}
+
 // Get reads one row. It returns false if the row is absent.
 func (c *Client) Get(ctx context.Context, table, key string) (Row, bool, error) {
 	page, err := c.read(ctx, c.codec().Get(table, key), c.Timeout)
@@ -118,6 +138,7 @@
 		return 0, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 	}
 	defer drain(response)
+	c.observeEra(response)
 	return c.commitResult(response, tx)
 }
 
@@ -210,6 +231,7 @@
 		return Page{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer drain(response)
+	era := c.observeEra(response)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		c.tableDone(false)
@@ -217,6 +239,10 @@
 	}
 	page, err := c.codec().DecodePage(response.StatusCode, body)
 	c.tableDone(err == nil || errors.Is(err, ErrHistoryGone))
+	page.Era = era
+	for i := range page.Rows {
+		page.Rows[i].Era = era
+	}
 	return page, err
 }
 
@@ -272,6 +298,6 @@
 // drain reads the rest of an answer, so that its connection can be used again, and
 // closes it.
 func drain(response *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
 	_ = response.Body.Close()
 }
--- a/internal/platform/codec.go
+++ b/internal/platform/codec.go
@@ -23,6 +23,8 @@
 	Scan(s Scan) Call
 	Feed(table string, after int64, wait time.Duration) Call
 	Commit(tx Transaction) Call
+	// Era returns the era that an answer states, 0 if it states none.
+	Era(header http.Header) int64
 	// DecodePage decodes the answer to Get, Scan or Feed.
 	DecodePage(status int, body []byte) (Page, error)
 	// DecodeCommit decodes the answer to Commit and returns the version written.
@@ -54,6 +56,9 @@
 	return Call{Method: http.MethodPost, Path: "/table/commit", Body: tx}
 }
 
+// Era returns 0, since package standin is never restored from an older copy.
+func (StandinCodec) Era(http.Header) int64 { return 0 }
+
 // DecodePage decodes the answer to Get, Scan or Feed.
 func (StandinCodec) DecodePage(status int, body []byte) (Page, error) {
 	var answer struct {
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -41,14 +42,15 @@
 // TableRelay provides the rows that other hosts have read of a table. A host that
 // gets no answer from the service follows the table through its peers.
 type TableRelay interface {
-	// NewestPeerVersion returns the highest row version that a peer knows.
-	NewestPeerVersion(table string) int64
-	// PeerRows returns a peer's rows whose version is above after.
-	PeerRows(ctx context.Context, table string, after int64) (Page, error)
+	// NewestPeerPosition returns the position of the newest row that a peer knows.
+	NewestPeerPosition(table string) Position
+	// PeerRows returns a peer's rows later than after.
+	PeerRows(ctx context.Context, table string, after Position) (Page, error)
 }
 
 // Follower maintains a copy of one table: it reads the table once and then follows
-// its feed. It reads the table again when the service has discarded the history.
+// its feed. It reads the table again when the service has discarded the history or has
+// been restored from an older copy.
 // The exported fields must be set before Run.
 type Follower struct {
 	Client FeedClient
@@ -74,10 +76,10 @@
 	rows map[string]Row
 	// removed is the number of removed rows in rows.
 	removed int
-	// newest is the highest row version received.
-	newest int64
-	// after is the version from which the feed continues.
-	after int64
+	// newest is the position of the newest row received.
+	newest Position
+	// after is the position from which the feed continues. Its era is that of the copy.
+	after Position
 	// loaded is set once the complete table has been applied.
 	loaded      bool
 	unavailable bool
@@ -125,13 +127,17 @@
 	if !loaded {
 		return f.load(ctx)
 	}
-	page, err := f.Client.Feed(ctx, f.Table, after, wait)
-	if errors.Is(err, ErrHistoryGone) {
-		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("after", after).
+	page, err := f.Client.Feed(ctx, f.Table, after.Version, wait)
+	switch {
+	case page.Era > after.Era:
+		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("era", page.Era).Int64("before", after.Era).Int64("after", after.Version).
+			Msg("follower: table service restored from an older copy, reading the table again")
+		return f.load(ctx)
+	case errors.Is(err, ErrHistoryGone):
+		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("after", after.Version).
 			Msg("follower: history of the table discarded by the service, reading the table again")
 		return f.load(ctx)
-	}
-	if err != nil {
+	case err != nil:
 		return err
 	}
 	f.answered()
@@ -139,17 +145,21 @@
 	return nil
 }
 
-// merge applies the rows of a page that are newer than the known ones.
+// merge applies the rows of a page that are newer than the known ones. A page of
+// another era than the copy is ignored: the table is then read again, or was.
 func (f *Follower) merge(page Page) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if page.Era != f.after.Era {
+		return
+	}
 	var changed []Row
 	for _, row := range page.Rows {
 		if f.put(row) {
 			changed = append(changed, row)
 		}
 	}
-	f.after = max(f.after, page.Version)
+	f.after.Version = max(f.after.Version, page.Version)
 	if len(changed) > 0 {
 		f.Apply(changed, false)
 	}
@@ -162,7 +172,7 @@
 		f.rows = map[string]Row{}
 	}
 	old, known := f.rows[row.Key]
-	if known && old.Version >= row.Version {
+	if known && !row.Position().After(old.Position()) {
 		return false
 	}
 	if known && old.Removed {
@@ -172,7 +182,9 @@
 		f.removed++
 	}
 	f.rows[row.Key] = row
-	f.newest = max(f.newest, row.Version)
+	if row.Position().After(f.newest) {
+		f.newest = row.Position()
+	}
 	if f.removed > maxTombstones {
 		f.dropOldTombstones()
 	}
@@ -182,7 +194,7 @@
 // dropOldTombstones drops the removed rows whose version is at most half of the
 // newest one. The caller must hold f.mu.
 func (f *Follower) dropOldTombstones() {
-	middle := f.newest / 2
+	middle := f.newest.Version / 2
 	for key, row := range f.rows {
 		if row.Removed && row.Version <= middle {
 			delete(f.rows, key)
@@ -195,7 +207,7 @@
 // page, so that changes made between two pages are received as well.
 func (f *Follower) load(ctx context.Context) error {
 	var rows []Row
-	var version int64
+	var start Position
 	scan := Scan{Table: f.Table, Limit: followPage}
 	for first := true; ; first = false {
 		page, err := f.Client.Page(ctx, scan)
@@ -203,7 +215,10 @@
 			return err
 		}
 		if first {
-			version = page.Version
+			start = Position{Era: page.Era, Version: page.Version}
+		}
+		if page.Era != start.Era {
+			return fmt.Errorf("%w: restored from an older copy while table %s was read", ErrUnavailable, f.Table)
 		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
@@ -212,30 +227,48 @@
 		scan.After = page.Rows[len(page.Rows)-1].Key
 	}
 	f.answered()
+	f.applyAll(rows, start)
+	return nil
+}
+
+// applyAll applies the complete table as read at a position. If the copy is later, since
+// a peer has sent later changes meanwhile, it is kept.
+func (f *Follower) applyAll(rows []Row, at Position) {
+	f.mu.Lock()
+	restored := f.loaded && at.Era > f.after.Era
+	f.mu.Unlock()
+	if restored && f.OnUnavailable != nil {
+		// Rows that the copy lacks were lost and are written again, as after an outage.
+		f.OnUnavailable()
+		f.OnAvailable()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version < f.after {
-		// A peer has sent later changes meanwhile. The feed continues from them.
+	if f.after.After(at) {
 		f.loaded = true
-		return nil
+		return
 	}
-	f.rows, f.removed = map[string]Row{}, 0
+	f.rows, f.removed, f.newest = map[string]Row{}, 0, Position{Era: at.Era}
+	listed := make([]Row, 0, len(rows))
 	for _, row := range rows {
 		f.put(row)
+		if !row.Removed {
+			listed = append(listed, row)
+		}
 	}
-	f.after = version
+	f.after = at
 	f.loaded = true
-	f.Apply(rows, true)
-	return nil
+	f.Apply(listed, true)
 }
 
 // relay fetches from a peer the rows that the service has not sent to this host.
 func (f *Follower) relay(ctx context.Context) {
-	peerVersion := f.Relay.NewestPeerVersion(f.Table)
+	ahead := f.Relay.NewestPeerPosition(f.Table)
 	now := f.Clock.Now()
 	f.mu.Lock()
 	newest, loaded := f.newest, f.loaded
-	if peerVersion <= newest {
+	newest.Era = f.after.Era
+	if !ahead.After(newest) {
 		f.aheadSince = time.Time{}
 	} else if f.aheadSince.IsZero() {
 		f.aheadSince = now
@@ -247,57 +280,38 @@
 	}
 	page, err := f.Relay.PeerRows(ctx, f.Table, newest)
 	if err != nil {
-		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("newest", newest).Err(err).
+		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("era", newest.Era).Err(err).
 			Msg("follower: reading rows from a peer failed")
 		return
 	}
-	f.Log.Info().Str("part", "follower").Str("table", f.Table).Int64("newest", newest).Int64("ahead", peerVersion).
-		Int("rows", len(page.Rows)).Msg("follower: received rows from a peer")
-	if loaded {
-		f.merge(page)
-		return
-	}
-	f.loadFromPeer(page)
-}
-
-// loadFromPeer applies the complete table as read from a peer, unless the service has
-// sent it meanwhile.
-func (f *Follower) loadFromPeer(page Page) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.loaded {
+	f.Log.Info().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("ahead", ahead.Version).
+		Int64("era", ahead.Era).Int("rows", len(page.Rows)).Msg("follower: received rows from a peer")
+	if !loaded || page.Whole {
+		f.applyAll(page.Rows, Position{Era: page.Era, Version: page.Version})
 		return
 	}
-	var rows []Row
-	for _, row := range page.Rows {
-		f.put(row)
-		if !row.Removed {
-			rows = append(rows, row)
-		}
-	}
-	f.after = page.Version
-	f.loaded = true
-	f.Apply(rows, true)
+	f.merge(page)
 }
 
-// NewestVersion returns the highest known row version, or 0 before the first row.
-func (f *Follower) NewestVersion() int64 {
+// Newest returns the position of the newest known row, or the zero position before the
+// first one.
+func (f *Follower) Newest() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.newest
 }
 
-// RowsAfter returns the known rows whose version is above after. It returns false
-// if the table has not been read yet.
-func (f *Follower) RowsAfter(after int64) (Page, bool) {
+// RowsAfter returns the known rows that are later than after, or all of them if after is
+// of an earlier era. It returns false if the table has not been read yet.
+func (f *Follower) RowsAfter(after Position) (Page, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.loaded {
 		return Page{}, false
 	}
-	page := Page{Version: f.after}
+	page := Page{Version: f.after.Version, Era: f.after.Era, Whole: after.Era < f.after.Era}
 	for _, row := range f.rows {
-		if row.Version > after {
+		if row.Position().After(after) {
 			page.Rows = append(page.Rows, row)
 		}
 	}
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	rows    map[string]platform.Row
 	version int64
+	// era counts the restores from an older copy.
+	era int64
 	// oldest is the version before which the history has been discarded.
 	oldest int64
 	// unavailable makes the service unavailable to this host, but not to the peer.
@@ -62,9 +64,10 @@
 		return platform.Page{}, errUnavailable
 	}
 	f.loads++
-	page := platform.Page{Version: f.version}
+	page := platform.Page{Version: f.version, Era: f.era}
 	for _, row := range f.rows {
 		if !row.Removed {
+			row.Era = f.era
 			page.Rows = append(page.Rows, row)
 		}
 	}
@@ -79,15 +82,16 @@
 	switch {
 	case f.unavailable:
 		return platform.Page{}, errUnavailable
-	case after < f.oldest:
-		return platform.Page{}, platform.ErrHistoryGone
+	case after < f.oldest, after > f.version:
+		return platform.Page{Era: f.era}, platform.ErrHistoryGone
 	}
 	return f.since(after), nil
 }
 
 func (f *fakeFeed) since(after int64) platform.Page {
-	page := platform.Page{Version: f.version}
+	page := platform.Page{Version: f.version, Era: f.era}
 	for _, row := range f.rows {
+		row.Era = f.era
 		if row.Version > after {
 			page.Rows = append(page.Rows, row)
 		}
@@ -95,16 +99,29 @@
 	return page
 }
 
-func (f *fakeFeed) NewestPeerVersion(string) int64 {
+func (f *fakeFeed) NewestPeerPosition(string) platform.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.version
+	return platform.Position{Era: f.era, Version: f.version}
 }
 
-func (f *fakeFeed) PeerRows(_ context.Context, _ string, after int64) (platform.Page, error) {
+func (f *fakeFeed) PeerRows(_ context.Context, _ string, after platform.Position) (platform.Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.since(after), nil
+	if after.Era < f.era {
+		page := f.since(0)
+		page.Whole = true
+		return page, nil
+	}
+	return f.since(after.Version), nil
+}
+
+// restore replaces the rows and the version by those of an older copy.
+func (f *fakeFeed) restore(rows map[string]platform.Row, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era++
+	f.rows, f.version = maps.Clone(rows), version
 }
 
 // tableCopy is the table as passed to Follower.Apply.
@@ -282,3 +299,36 @@
 		}
 	})
 }
+
+// A service that is restored from an older copy loses changes, gives out their versions
+// again and reads as a new era. A host must replace its copy, and must not take changes of
+// one era for those of the other, whether it hears of the era from the service or from a
+// peer.
+func TestFollowerReadsTableAgainInNewEra(t *testing.T) {
+	for name, cutOff := range map[string]bool{"from the service": false, "from a peer": true} {
+		t.Run(name, func(t *testing.T) {
+			follow(t, cutOff, func(f *fakeFeed, c *tableCopy) {
+				var rows map[string]platform.Row
+				var version int64
+				f.set(func() { rows, version = maps.Clone(f.rows), f.version })
+				f.put("b", "lost")
+				f.put("c", "lost")
+				time.Sleep(time.Second)
+				f.set(func() { f.unavailable = cutOff })
+				f.restore(rows, version)
+				f.put("d", "same version as the lost b")
+				time.Sleep(time.Second)
+				if diff := cmp.Diff("a=1 d=same version as the lost b ", c.text()); diff != "" {
+					t.Errorf("copy (-want +got):\n%s", diff)
+				}
+				f.restore(rows, version)
+				f.put("e", "5")
+				f.put("f", "6")
+				time.Sleep(time.Second)
+				if diff := cmp.Diff("a=1 e=5 f=6 ", c.text()); diff != "" {
+					t.Errorf("copy after a second restore (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/platform/row.go
+++ b/internal/platform/row.go
@@ -16,15 +16,40 @@
 	Key     string          `json:"key"`
 	Version int64           `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	// Era is the era of the service in which the row was read, see Position.
+	Era int64 `json:"era,omitempty"`
 	// Removed is set in a feed for a row that no longer exists.
 	Removed bool `json:"removed,omitempty"`
 }
 
+// Position returns the position of the row in the history of its table.
+func (r *Row) Position() Position { return Position{Era: r.Era, Version: r.Version} }
+
+// Position is a position in the history of the service. When the service is restored
+// from an older copy, a new era begins, versions go back and are given out again. Only
+// versions of the same era can be compared.
+type Position struct {
+	Era     int64
+	Version int64
+}
+
+// After reports whether p is later than q.
+func (p Position) After(q Position) bool {
+	if p.Era != q.Era {
+		return p.Era > q.Era
+	}
+	return p.Version > q.Version
+}
+
 // Page is the answer to a call that reads rows.
 type Page struct {
 	Rows []Row
 	// Version is the highest version of the service. A feed continues from it.
 	Version int64
+	// Era is the era of the service, see Position.
+	Era int64
+	// Whole reports that Rows is the complete table. It is set by peers only.
+	Whole bool
 	// More reports that further rows follow this page.
 	More bool
 }
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -39,6 +39,8 @@
 type TableProvider interface {
 	Get(ctx context.Context, table, key string) (platform.Row, bool, error)
 	CommitVersion(ctx context.Context, tx platform.Transaction) (int64, error)
+	// Era returns the era of the table service, see platform.Position.
+	Era() int64
 }
 
 // TargetClient reads the state of targets and sends them swap orders.
@@ -67,6 +69,8 @@
 	Busy bool
 	// Versions are the loaded weight versions, by model.
 	Versions map[string]int64
+	// Leaving reports that the target is leaving.
+	Leaving bool
 }
 
 // Leader swaps targets to the requested weights while this host holds the
@@ -122,7 +126,8 @@
 	now := l.Steady.Now()
 	found := false
 	for _, row := range rows {
-		if row.Key != leaseKey || row.Removed {
+		l.enterEra(now, row.Era)
+		if row.Key != leaseKey || row.Removed || row.Era < l.Lease.Era() {
 			continue
 		}
 		found = true
@@ -138,6 +143,18 @@
 	}
 }
 
+// enterEra stops acting on a lease of an earlier era. The lock must be held.
+func (l *Leader) enterEra(now time.Time, era int64) {
+	before := l.Lease.Era()
+	if era <= before {
+		return
+	}
+	l.Lease.EnterEra(now, era)
+	l.Plan.Forget()
+	l.Log.Warn().Str("part", "rollout").Int64("era", era).Int64("before", before).Int64("fence", l.Lease.FencingToken()).
+		Msg("rollout: table service restored from an older copy, leases written before are void")
+}
+
 // observe applies the lease row. The lock must be held.
 func (l *Leader) observe(now time.Time, r lease.Record, version int64) {
 	before := l.Lease.FencingToken()
@@ -171,6 +188,7 @@
 func (l *Leader) check(ctx context.Context) {
 	obsolete := l.Cleaner != nil && l.Cleaner.HasObsoleteParts()
 	l.mu.Lock()
+	l.enterEra(l.Steady.Now(), l.Table.Era())
 	targets := l.Fleet.Targets()
 	requested := l.requestedVersions()
 	due := anyOutdated(targets, requested) || obsolete
@@ -188,7 +206,10 @@
 		return
 	}
 	l.sendOrders(ctx, targets)
-	if obsolete {
+	l.mu.Lock()
+	holds := l.Lease.Holds(l.Steady.Now(), orderTimeout)
+	l.mu.Unlock()
+	if obsolete && holds {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		l.Cleaner.FreeObsoleteParts(ctx, orderTimeout)
@@ -269,7 +290,7 @@
 func (l *Leader) writeLease(ctx context.Context) bool {
 	l.mu.Lock()
 	r, version := l.Lease.Next(l.Plan.Swapping())
-	before := l.Lease.FencingToken()
+	before, era := l.Lease.FencingToken(), l.Lease.Era()
 	l.mu.Unlock()
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -290,6 +311,11 @@
 		}
 		return false
 	}
+	if l.Table.Era() != era {
+		// The version on which the write depended may be one that was given out again.
+		l.enterEra(l.Steady.Now(), l.Table.Era())
+		return false
+	}
 	l.Lease.Renewed(startedAt, r, written)
 	if r.FencingToken != before {
 		l.Log.Info().Str("part", "rollout").Int64("fence", r.FencingToken).Int64("rowVersion", written).
@@ -316,6 +342,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.enterEra(l.Steady.Now(), l.Table.Era())
+	if found && row.Era < l.Lease.Era() {
+		return
+	}
 	l.observe(l.Steady.Now(), r, row.Version)
 }
 
@@ -364,6 +394,9 @@
 // accepts another one first.
 func (l *Leader) issueOrder(ctx context.Context, order *Order, fencingToken int64) error {
 	state, err := l.Targets.State(ctx, order.Target)
+	if state.Leaving {
+		l.Fleet.MarkLeaving(order.Target.ID, order.Target.Started)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/rollout/leader_test.go
+++ b/internal/rollout/leader_test.go
@@ -33,6 +33,8 @@
 	// lostAnswers writes are lost, but the writes take effect.
 	cutOff      map[string]bool
 	lostAnswers int
+	// era counts the restores from an older copy.
+	era int64
 }
 
 func (s *leaseRow) set(change func()) {
@@ -47,13 +49,22 @@
 	host string
 }
 
+func (t tableClient) Era() int64 {
+	t.row.mu.Lock()
+	defer t.row.mu.Unlock()
+	if t.row.cutOff[t.host] {
+		return 0
+	}
+	return t.row.era
+}
+
 func (t tableClient) Get(context.Context, string, string) (platform.Row, bool, error) {
 	t.row.mu.Lock()
 	defer t.row.mu.Unlock()
 	if t.row.cutOff[t.host] {
 		return platform.Row{}, false, platform.ErrUnavailable
 	}
-	return platform.Row{Key: "lease/weights", Version: t.row.version, Value: t.row.value}, t.row.version > 0, nil
+	return platform.Row{Key: "lease/weights", Version: t.row.version, Value: t.row.value, Era: t.row.era}, t.row.version > 0, nil
 }
 
 func (t tableClient) CommitVersion(_ context.Context, tx platform.Transaction) (int64, error) {
@@ -191,11 +202,16 @@
 // deliverRow passes the lease row to a leader, as the feed of the shared table does.
 func deliverRow(row *leaseRow, host string, l *rollout.Leader) {
 	row.mu.Lock()
-	update := platform.Row{Key: "lease/weights", Version: row.version, Value: row.value}
+	update := platform.Row{Key: "lease/weights", Version: row.version, Value: row.value, Era: row.era}
+	other := platform.Row{Key: "host/a", Version: 1, Era: row.era}
 	cutOff := row.cutOff[host]
 	row.mu.Unlock()
-	if !cutOff && update.Version > 0 {
+	switch {
+	case cutOff:
+	case update.Version > 0:
 		l.ApplyRows([]platform.Row{update}, false)
+	case update.Era > 0:
+		l.ApplyRows([]platform.Row{other}, true)
 	}
 }
 
@@ -293,3 +309,65 @@
 		}
 	})
 }
+
+// The table service is restored from a copy in which the lease is absent or held by an
+// earlier holder, also twice in a row, while the holder is cut off from the service and
+// still acts. No two hosts may send orders within the quiet period, and no fencing token
+// may go back. The swaps are completed all the same.
+func TestRestoredTableServiceKeepsOneHolder(t *testing.T) {
+	for name, test := range map[string]struct {
+		absent, cutOff bool
+		restores       int
+	}{
+		"lease absent":                            {absent: true, restores: 1},
+		"lease absent, holder cut off":            {absent: true, cutOff: true, restores: 1},
+		"earlier holder in the copy":              {restores: 1},
+		"earlier holder in the copy, now cut off": {cutOff: true, restores: 1},
+		"two restores in a row":                   {absent: true, cutOff: true, restores: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runLeaders(t, func(row *leaseRow, e *fakeEngines, leaders map[string]*rollout.Leader) {
+				requestVersion(leaders, 2)
+				for e.count() == 0 {
+					time.Sleep(50 * time.Millisecond)
+				}
+				var copied leaseRow
+				row.set(func() { copied.value, copied.version = row.value, row.version })
+				holder, err := lease.Decode(copied.value)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !test.absent {
+					// A second holder takes over. Its record is not in the copy.
+					row.set(func() { row.cutOff[holder.Holder] = true })
+					requestVersion(leaders, 3)
+					time.Sleep(testTTL + testQuietPeriod + 2*time.Second)
+					row.set(func() { clear(row.cutOff) })
+					time.Sleep(200 * time.Millisecond)
+				}
+				for range test.restores {
+					row.set(func() {
+						if test.cutOff {
+							if r, err := lease.Decode(row.value); err == nil {
+								row.cutOff[r.Holder] = true
+							}
+						}
+						row.era++
+						row.value, row.version = copied.value, copied.version
+						if test.absent {
+							row.value, row.version = nil, 0
+						}
+					})
+					time.Sleep(700 * time.Millisecond)
+				}
+				requestVersion(leaders, 4)
+				time.Sleep(20 * time.Second)
+				row.set(func() { clear(row.cutOff) })
+				time.Sleep(20 * time.Second)
+				if !e.done(4) {
+					t.Errorf("swaps aren't complete after the restore: versions %v, want all at 4", e.versions)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/directtable.go
+++ b/internal/standin/directtable.go
@@ -37,6 +37,9 @@
 	return d.Next()
 }
 
+// Era returns 0, since the table is never restored from an older copy.
+func (d *DirectTable) Era() int64 { return 0 }
+
 // Get reads one row.
 func (d *DirectTable) Get(_ context.Context, table, key string) (platform.Row, bool, error) {
 	if d.outcome() != Answered {
