--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -113,3 +113,25 @@
 		t.Error("Loaded reports false after the only target was removed")
 	}
 }
+
+// A late row of an earlier process must not cancel the removal of the present one, and a
+// row that doesn't say so must not make a leaving process usable again.
+func TestRowsOfEarlierProcess(t *testing.T) {
+	v, now := fleet.NewView(), time.Unix(100, 0)
+	v.Put(fleet.Target{ID: "a", Started: 2})
+	v.Put(fleet.Target{ID: "b", Started: 2, Leaving: true})
+	v.TableUnavailable()
+	v.TableAvailable(now)
+	v.Remove(now, "a")
+	v.Put(fleet.Target{ID: "a", Started: 1})
+	v.Put(fleet.Target{ID: "b", Started: 2})
+	if b, _ := v.Find("b"); !b.Leaving {
+		t.Error("a row of the leaving process made it usable again")
+	}
+	v.Expire(now.Add(time.Minute))
+	wantIDs(t, v, "b")
+	v.Put(fleet.Target{ID: "b", Started: 3})
+	if b, _ := v.Find("b"); b.Leaving {
+		t.Error("the new process counts as leaving")
+	}
+}
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -8,6 +8,7 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
+	"sassafrasplank.example/sassafrasplank/internal/work"
 )
 
 // A refusal must state its cause and the values involved.
@@ -37,3 +38,38 @@
 		}
 	}
 }
+
+// A failure that a target answered with must count once, as a failure.
+func TestFailureThatIsPassedOnCountsAsFailure(t *testing.T) {
+	g, _, _ := newStoreGateway(t)
+	w := storeWork("w1")
+	share := func(failed bool) float64 {
+		req := g.placementRequest(w)
+		at, none := g.choose(&req, w)
+		if at == nil {
+			t.Fatal(none.why)
+		}
+		at.failed = failed
+		g.recordAnswered(at)
+		g.finishAttempt(at)
+		return at.decision.Chosen.Penalty
+	}
+	before := share(true)
+	if after := share(false); after <= before {
+		t.Errorf("penalty of the target is %g after its failure and %g before, want a higher one", after, before)
+	}
+}
+
+// The version in a cache namespace must be found whatever the names of the model and the
+// client account contain.
+func TestNamespaceVersion(t *testing.T) {
+	for _, model := range []string{"m", "org/m", "a@b/c", "50%"} {
+		for _, isolated := range []bool{false, true} {
+			w := &work.Work{Account: "x/y", Isolated: isolated}
+			got, version, ok := namespaceVersion(cacheNamespace(w, versionName(model, 7)))
+			if got != model || version != 7 || !ok {
+				t.Errorf("model %q, isolated %t: got %q, version %d, %t", model, isolated, got, version, ok)
+			}
+		}
+	}
+}
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -236,3 +236,39 @@
 		})
 	}
 }
+
+// A new engine that is listed before an idle known one must not take its number, which
+// would make the known one lose its versions and its cache.
+func TestKnownEngineKeepsItsState(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPlacer(2, 0, now)
+	specs := []placement.EngineSpec{
+		{Name: "new", Models: []string{fakeModel}, Slots: 4, PrefillRate: 1000},
+		{Name: engineName(0), Models: []string{fakeModel}, Slots: 4, PrefillRate: 1000},
+		{Name: engineName(1), Models: []string{fakeModel}, Slots: 4, PrefillRate: 1000},
+	}
+	p.SetEngines(now, specs)
+	for i := range 2 {
+		if !p.HasVersion(engineName(i), versionOf(i)) {
+			t.Errorf("%s has lost its version", engineName(i))
+		}
+	}
+}
+
+// In a pool with more engines than candidates, a request must be placed as long as any
+// engine can run it.
+func TestLargePoolIsSearchedForUsableEngine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const n = 100
+	p := newPlacer(n, 0, now)
+	for i := range n {
+		if i != 62 {
+			p.Avoid(engineName(i), now.Add(time.Minute))
+		}
+	}
+	var d placement.Decision
+	p.Place(now, &placement.Request{ID: "r", Model: fakeModel, Version: versionOf(62), PromptTokens: 10}, &d)
+	if d.Target != engineName(62) {
+		t.Errorf("placed on %q for reason %s, want the only usable engine %s", d.Target, d.Reason, engineName(62))
+	}
+}
