Let a few hosts read the tables and the others follow them through peers

Cause: every host follows three tables of the table service by itself, 2.8 calls a second and host. Change: of more than 9 live hosts (setting table.readers) those with the highest hashes read the service; the others take rows from a peer that reports newer ones, within 100 ms of hearing of them. Reports carry the age of the latest read of any host; a host that knows of none within 2 s (table.contactWithin) reads the service itself. A start reads the service always. Ruled out: fixed relays per failure domain, since a domain can be lost whole; the last answer to any call as contact, since ledger writes go on while no reader reads.

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -105,6 +105,11 @@
 	ChangeWait Duration `json:"changeWait"`
 	// TargetPoll is the pause between two calls that read the list of targets.
 	TargetPoll Duration `json:"targetPoll"`
+	// Readers is the number of hosts that read changes from the table service themselves.
+	// The others follow its tables through their peers. A host does so only while it knows
+	// of a contact of any host with the service within ContactMaxAge.
+	Readers       int      `json:"readers"`
+	ContactMaxAge Duration `json:"contactWithin"`
 	// LeaveTimeout is the time in which a leaving target must stop getting requests. It
 	// only limits the delay of removals after an outage of the table service, see package
 	// fleet. Otherwise a leaving target gets no more requests as soon as its row is read.
@@ -192,6 +197,8 @@
 			ChangeWait:      DurationOf(1500 * time.Millisecond),
 			TargetPoll:      DurationOf(500 * time.Millisecond),
 			LeaveTimeout:    DurationOf(2 * time.Second),
+			Readers:         9,
+			ContactMaxAge:   DurationOf(2 * time.Second),
 		},
 		Placement: base.Placement,
 		Slowness:  base.Slowness,
@@ -248,6 +255,7 @@
 	k.url(c.Table.URL, "/table/url")
 	k.positive(c.Table.ReadsPerSecond, "/table/readsPerSecond", "calls per second")
 	k.positive(c.Table.WritesPerSecond, "/table/writesPerSecond", "calls per second")
+	k.positive(float64(c.Table.Readers), "/table/readers", "hosts")
 	k.positive(float64(c.Table.BreakerFailures), "/table/breakerFailures", "calls")
 	k.positive(c.PrefillTokensPerSecond, "/prefillTokensPerSecond", "tokens per second")
 	k.positive(c.PlainSlotRate, "/plainRate", "requests per second")
@@ -262,6 +270,7 @@
 		"/table/changeWait":    c.Table.ChangeWait,
 		"/table/targetPoll":    c.Table.TargetPoll,
 		"/table/leaveWithin":   c.Table.LeaveTimeout,
+		"/table/contactWithin": c.Table.ContactMaxAge,
 		"/ledger/flushEvery":   c.Ledger.FlushEvery,
 		"/peers/interval":      c.Peers.Interval,
 		"/rollout/lease":       c.Rollout.LeaseTTL,
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -194,9 +194,12 @@
 			h.hosts.ApplyRows(rows, full)
 		},
 	}
+	// A host that reads the configuration from the service also reads the other tables.
+	h.group.Contact = operators
 	followers := tableCopies{operators, targets, shared}
 	for _, f := range followers {
 		f.Client, f.Relay, f.Clock, f.Log = h.table, h.group, h.Clock, h.Log
+		f.ReadsService = func() bool { return h.group.ReadsTables(table.Readers, table.ContactMaxAge.Duration) }
 	}
 	return followers
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -298,6 +298,20 @@
 	return best
 }
 
+// Rank returns the number of other alive members that have a higher rendezvous hash for a
+// name than the host itself. Members that are known only from the list of hosts, with
+// incarnation 0, don't count. Hosts with different views may disagree.
+func (t *Table) Rank(name string) int {
+	own := ownerHash(t.self.Name, name)
+	rank := 0
+	for _, e := range t.entries {
+		if e.member.Status == Alive && e.member.Incarnation > 0 && ownerHash(e.member.Name, name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 func ownerHash(host, name string) uint64 {
 	return xxhash.Sum64String(host + "\x00" + name)
 }
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -71,6 +71,12 @@
 	TargetLeaving(name string)
 }
 
+// ContactProvider provides the time since this host itself last reached the table
+// service, and false if it has not done so yet.
+type ContactProvider interface {
+	ContactAge() (time.Duration, bool)
+}
+
 // RecordFollower provides the records in force and keeps them up to date.
 type RecordFollower interface {
 	Current() *record.Set
@@ -99,6 +105,9 @@
 	Records RecordFollower
 	// Tables may be nil on hosts that follow no tables.
 	Tables TableSource
+	// Contact tells when this host itself last reached the table service. If it is nil,
+	// Records does.
+	Contact ContactProvider
 	Ledger LedgerTable
 	// LoadMaxAge is how long the loads in a peer's report are used. The default is
 	// reportMaxAge.
@@ -257,19 +266,26 @@
 			report.Tables = append(report.Tables, TableVersion{Table: table, Position: position})
 		}
 	}
+	report.ContactAge, report.ContactKnown = g.LatestContactAge()
 	if g.Records == nil {
 		return report
 	}
 	report.Revision = g.Records.Current().Revision
 	report.HighestRevision = max(report.Revision, g.HighestRevision())
-	report.ContactAge, report.ContactKnown = g.latestContactAge()
 	return report
 }
 
-// latestContactAge returns the time since this host itself or, according to a report,
+// LatestContactAge returns the time since this host itself or, according to a report,
 // a peer last reached the table service. It returns false if no contact is known.
-func (g *Group) latestContactAge() (time.Duration, bool) {
-	own, known := g.Records.ContactAge()
+func (g *Group) LatestContactAge() (time.Duration, bool) {
+	contact := g.Contact
+	if contact == nil && g.Records != nil {
+		contact = g.Records
+	}
+	if contact == nil {
+		return g.ContactAge()
+	}
+	own, known := contact.ContactAge()
 	reported, reportedKnown := g.ContactAge()
 	switch {
 	case known && reportedKnown:
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -56,7 +56,11 @@
 	Client FeedClient
 	// Relay may be nil.
 	Relay TableRelay
-	Table string
+	// ReadsService reports whether this host reads changes from the service itself.
+	// Otherwise it follows the table through its peers. If ReadsService is nil, it always
+	// reads the service.
+	ReadsService func() bool
+	Table        string
 	// Wait is how long one call waits for a change. It also limits how long an
 	// unresponsive connection goes unnoticed.
 	Wait time.Duration
@@ -83,6 +87,8 @@
 	// loaded is set once the complete table has been applied.
 	loaded      bool
 	unavailable bool
+	// answeredAt is when the service last answered this follower.
+	answeredAt time.Time
 	// probes counts the calls since the service became unavailable.
 	probes int
 	// aheadSince is when a peer began to report newer rows. It is zero if no peer does.
@@ -97,6 +103,10 @@
 	}
 	for ctx.Err() == nil {
 		pause := f.Pause
+		if !f.readsService() {
+			_ = clock.Sleep(ctx, f.Clock, relayInterval) // The loop checks ctx.
+			continue
+		}
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.failed(err)
 			pause = retryPause
@@ -109,6 +119,15 @@
 	return nil
 }
 
+// readsService reports whether the next call goes to the service. The first one always
+// does, so that a host that starts depends on no peer.
+func (f *Follower) readsService() bool {
+	f.mu.Lock()
+	loaded := f.loaded
+	f.mu.Unlock()
+	return !loaded || f.Relay == nil || f.ReadsService == nil || f.ReadsService()
+}
+
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.Lock()
 	loaded, after, wait := f.loaded, f.after, f.Wait
@@ -273,9 +292,10 @@
 	} else if f.aheadSince.IsZero() {
 		f.aheadSince = now
 	}
-	due := !f.aheadSince.IsZero() && now.Sub(f.aheadSince) >= relayDelay
+	behind := !f.aheadSince.IsZero()
+	due := behind && now.Sub(f.aheadSince) >= relayDelay
 	f.mu.Unlock()
-	if !due {
+	if !due && !(behind && !f.readsService()) {
 		return
 	}
 	page, err := f.Relay.PeerRows(ctx, f.Table, newest)
@@ -293,6 +313,14 @@
 	f.merge(page)
 }
 
+// ContactAge returns the time since the service last answered this follower. It returns
+// false if it has not done so yet.
+func (f *Follower) ContactAge() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Clock.Now().Sub(f.answeredAt), !f.answeredAt.IsZero()
+}
+
 // Newest returns the position of the newest known row, or the zero position before the
 // first one.
 func (f *Follower) Newest() Position {
@@ -324,6 +352,7 @@
 	f.mu.Lock()
 	wasUnavailable := f.unavailable
 	f.unavailable, f.probes = false, 0
+	f.answeredAt = f.Clock.Now()
 	f.mu.Unlock()
 	if !wasUnavailable {
 		return
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -31,8 +31,8 @@
 	oldest int64
 	// unavailable makes the service unavailable to this host, but not to the peer.
 	unavailable bool
-	// loads counts the reads of the complete table.
-	loads int
+	// loads counts the reads of the complete table, feeds those of changes.
+	loads, feeds int
 }
 
 func (f *fakeFeed) put(key, value string) {
@@ -79,6 +79,7 @@
 	_ = clock.Sleep(ctx, clock.System{}, wait/10)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.feeds++
 	switch {
 	case f.unavailable:
 		return platform.Page{}, errUnavailable
@@ -332,3 +333,35 @@
 		})
 	}
 }
+
+// A host that need not read the service itself must follow the table through its peers
+// without a call, and read the service again as soon as it has to.
+func TestFollowerReadsServiceOnlyIfItHasTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, known := &fakeFeed{rows: map[string]platform.Row{}}, &tableCopy{}
+		feed.put("a", "1")
+		var reads atomic.Bool
+		f := &platform.Follower{
+			Client: feed, Relay: feed, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply, ReadsService: reads.Load,
+			Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		}
+		ctx, end := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(time.Second)
+		feed.put("b", "2")
+		time.Sleep(time.Second)
+		if got := fmt.Sprint(known.text(), feed.loads, feed.feeds); got != "a=1 b=2 1 0" {
+			t.Errorf("got copy, complete reads and reads of the feed %q, want \"a=1 b=2 1 0\"", got)
+		}
+		reads.Store(true)
+		time.Sleep(time.Second)
+		if feed.feeds == 0 {
+			t.Error("the feed was not read by a host that has to")
+		}
+		end()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
