Poll caches on a few hosts and pass their events on

Cause: every host polled every engine and store. Prompts of one kind share their first part, by whose hash the candidates of a large pool were chosen, so all of a kind had the same eight engines and eight random ones. Change: with more hosts than a source accepts polls from, sources form groups of some 16; six hosts, by the hashes of their names, poll a group, and the others ask one of them in turn, once each 0.7 s for all its sources. Answers carry the clock of the targets and their age, so a read lease doesn't grow on the way; an answer older than the last one is ignored. Candidates of a large pool come from the last shared part. Ruled out: watchers for each source alone (a call a source and round), passing events by random exchanges (a host would meet a watcher each 0.7 s on average only). Result: TestEveryHostLearnsOfCachesThroughPeers (13, 81, 295 hosts; at most 12 polls a second of a source at any number), TestOlderAnswerIsIgnored, TestRelayedAnswerDoesNotProlongReads.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -171,6 +171,7 @@
 	h.group.Init()
 	h.ledgerWriter.Mirror, h.ledgerWriter.HostCount = h.group, h.group.HostCount
 	h.gateway.HostCount = h.group.HostCount
+	h.gateway.CacheRelay, h.group.Caches = h.group, h.gateway
 }
 
 // rank maps a host name to a number in [0, 1), evenly distributed over the hosts.
@@ -210,6 +211,7 @@
 		func(ctx context.Context) error { h.gateway.FollowPeers(ctx, h.group); return nil },
 		func(ctx context.Context) error { h.gateway.WatchCaches(ctx, h.CacheEvents); return nil },
 		func(ctx context.Context) error { h.gateway.WatchStores(ctx, h.CacheEvents); return nil },
+		func(ctx context.Context) error { h.gateway.FollowCaches(ctx); return nil },
 	}
 	for _, f := range h.copies {
 		tasks = append(tasks, f.Run)
--- /dev/null
+++ b/internal/gateway/cacherelay_test.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
+	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/routing"
+)
+
+// hostGroup connects gateways of one process, as peers do over the network.
+type hostGroup struct {
+	mu    sync.Mutex
+	hosts map[string]*Gateway
+	down  map[string]bool
+	calls int
+}
+
+// hostRelay is the group as one host sees it.
+type hostRelay struct {
+	group *hostGroup
+	host  string
+}
+
+func (r hostRelay) CacheWatchers(group string, n int) (watchers []string, self bool) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	table := membership.NewTable(membership.Member{Name: r.host, Incarnation: 1}, membership.Params{})
+	for name := range r.group.hosts {
+		if name != r.host && !r.group.down[name] {
+			table.Merge(time.Time{}, []membership.Member{{Name: name, Incarnation: 1}})
+		}
+	}
+	watchers = table.Owners(group, n)
+	return watchers, slices.Contains(watchers, r.host)
+}
+
+func (r hostRelay) PeerCacheEvents(_ context.Context, host string, positions []peer.CachePosition) ([]peer.CacheUpdate, error) {
+	r.group.mu.Lock()
+	r.group.calls++
+	asked, down := r.group.hosts[host], r.group.down[host] || r.group.down[r.host]
+	r.group.mu.Unlock()
+	if down {
+		return nil, errors.New("host is down")
+	}
+	return asked.CacheUpdates(positions), nil
+}
+
+// eventSource is an engine or a store with numbered events and a limit of concurrent
+// polls.
+type eventSource struct {
+	mu                      sync.Mutex
+	epoch                   int64
+	events                  []CacheEvent
+	limit, waiting, refused int
+	polls                   int
+}
+
+func (s *eventSource) add(part string, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, CacheEvent{Number: int64(len(s.events) + 1), Removed: removed, Namespace: sharedNamespace, Part: part, Tokens: 100})
+}
+
+func (s *eventSource) CacheEvents(ctx context.Context, _ string, since int64, wait time.Duration) (CacheEvents, error) {
+	s.mu.Lock()
+	if s.waiting == s.limit {
+		s.refused++
+		s.mu.Unlock()
+		return CacheEvents{}, errTooManyCalls
+	}
+	s.waiting++
+	s.polls++
+	s.mu.Unlock()
+	err := clock.Sleep(ctx, clock.System{}, wait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+	answer := CacheEvents{Epoch: s.epoch, Next: int64(len(s.events)), Clock: time.Now().UnixMilli()}
+	if since <= int64(len(s.events)) {
+		answer.Events = slices.Clone(s.events[since:])
+	}
+	return answer, err
+}
+
+// runHosts runs hosts before one engine that accepts 12 polls at once, until scenario
+// returns.
+func runHosts(t *testing.T, n int, scenario func(group *hostGroup, source *eventSource)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		group := &hostGroup{hosts: map[string]*Gateway{}, down: map[string]bool{}}
+		source := &eventSource{epoch: 1, limit: 12}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for i := range n {
+			name := fmt.Sprintf("host-%03d", i)
+			g, _, _ := newStoreGateway(t)
+			g.Host, g.Clock, g.Steady = name, clock.System{}, clock.System{}
+			g.HostCount = func() int { return n }
+			g.CacheRelay = hostRelay{group, name}
+			g.SetRoutes(&routing.Config{Version: 2, Services: map[string]routing.Service{
+				"loom": {Name: "loom", Engine: &routing.Engine{Slots: 16, MaxEventCalls: source.limit}},
+			}})
+			g.Fleet.Put(fleet.Target{ID: "e1", Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 1}})
+			g.TargetsChanged()
+			group.hosts[name] = g
+		}
+		for _, g := range group.hosts {
+			running.Go(func() { g.WatchCaches(ctx, source) })
+			running.Go(func() { g.FollowCaches(ctx) })
+		}
+		scenario(group, source)
+		cancel()
+		running.Wait()
+	})
+}
+
+// unaware returns the hosts that don't know the state of a part on the engine.
+func (group *hostGroup) unaware(part string, cached bool) []string {
+	var names []string
+	for name, g := range group.hosts {
+		g.mu.Lock()
+		if (g.placer.Holder(partKey(sharedNamespace, part)) != "") != cached && !group.down[name] {
+			names = append(names, name)
+		}
+		g.mu.Unlock()
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Every host must learn of cached and removed parts, with any number of hosts, while at
+// most 12 of them poll, and while hosts that poll are lost. The polls of an engine must
+// not grow with the hosts.
+func TestEveryHostLearnsOfCachesThroughPeers(t *testing.T) {
+	for _, hosts := range []int{13, 81, 295} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			runHosts(t, hosts, func(group *hostGroup, source *eventSource) {
+				source.add("first", false)
+				time.Sleep(4 * time.Second)
+				if diff := cmp.Diff([]string(nil), group.unaware("first", true)); diff != "" {
+					t.Errorf("hosts that don't know of a cached part (-want +got):\n%s", diff)
+				}
+				relay := hostRelay{group, "host-000"}
+				watchers, _ := relay.CacheWatchers(groupOf("e1", 1), groupWatchers)
+				group.mu.Lock()
+				for _, name := range watchers[:3] {
+					group.down[name] = true
+				}
+				group.mu.Unlock()
+				source.add("first", true)
+				source.add("second", false)
+				time.Sleep(6 * time.Second)
+				if diff := cmp.Diff([]string(nil), group.unaware("first", false)); diff != "" {
+					t.Errorf("hosts that don't know of a removed part (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff([]string(nil), group.unaware("second", true)); diff != "" {
+					t.Errorf("hosts that don't know of a later part (-want +got):\n%s", diff)
+				}
+				source.mu.Lock()
+				defer source.mu.Unlock()
+				if most := 12 * 10; source.polls > most || source.refused > 0 {
+					t.Errorf("%d polls in 10 s, %d refused, want at most %d and none", source.polls, source.refused, most)
+				}
+			})
+		})
+	}
+}
+
+// An answer that a peer received before the last one known must not be applied, or a
+// store would seem to hold parts that it has lost.
+func TestOlderAnswerIsIgnored(t *testing.T) {
+	g, s, c := newStoreGateway(t)
+	restarted := newEvents(8, 9000)
+	restarted.Next = 1
+	before := newEvents(7, 8000, storedEvent(sharedNamespace))
+	before.Next = 5
+	g.applyEvents("s", before, c.now)
+	g.applyEvents("s", restarted, c.now)
+	g.applyEvents("s", before, c.now)
+	if s.epoch != 8 || len(s.parts) != 0 || s.targetClock != 9000 {
+		t.Errorf("got epoch %d, %d parts and clock %d, want those of the restarted store: 8, 0 and 9000", s.epoch, len(s.parts), s.targetClock)
+	}
+}
+
+// The answer of a peer must not prolong the time in which parts of a store may be read:
+// it ends by the clock of the targets at the answer of the store itself.
+func TestRelayedAnswerDoesNotProlongReads(t *testing.T) {
+	g, s, c := newStoreGateway(t)
+	g.applyEvents("s", newEvents(7, 8000, storedEvent(sharedNamespace)), c.now.Add(-(readLease - minReadTime)))
+	if s.readable(c.now) {
+		t.Error("a store whose last answer is too old is readable")
+	}
+	g.applyEvents("s", newEvents(7, 8100), c.now.Add(-minReadTime))
+	if !s.readable(c.now) {
+		t.Error("a store that has answered a short time ago is not readable")
+	}
+}
+
+// A host that falls behind the events that a peer holds must be told of the gap, and one
+// that knows them must get none twice.
+func TestCacheLogBounds(t *testing.T) {
+	l := &cacheLog{}
+	add := func(from, to int64) {
+		events := CacheEvents{Epoch: 1, Next: to, Clock: to}
+		for n := from; n <= to; n++ {
+			events.Events = append(events.Events, CacheEvent{Number: n, Namespace: "n", Part: fmt.Sprint(n)})
+		}
+		if _, ok := l.accept(&events, time.Unix(to, 0)); !ok {
+			t.Fatalf("events up to %d were not accepted", to)
+		}
+		l.keep(events.Events)
+	}
+	add(1, 10)
+	add(5, 20)
+	u := l.update(peer.CachePosition{Epoch: 1, Since: 18}, time.Unix(21, 0))
+	if len(l.events) != 20 || len(u.Events) != 2 || u.Gap || u.Next != 20 || u.Age != time.Second {
+		t.Errorf("got %d events held and update %+v, want 20 and the events 19 and 20", len(l.events), u)
+	}
+	add(21, 3*maxLogEvents)
+	if u := l.update(peer.CachePosition{Epoch: 1, Since: 20}, time.Unix(1e5, 0)); len(u.Events) != maxLogEvents || !u.Gap {
+		t.Errorf("got %d events, gap %t, want %d and a gap", len(u.Events), u.Gap, maxLogEvents)
+	}
+	if u := l.update(peer.CachePosition{Epoch: 9, Since: 3 * maxLogEvents}, time.Unix(1e5, 0)); len(u.Events) != maxLogEvents {
+		t.Errorf("got %d events for a position of another epoch, want %d", len(u.Events), maxLogEvents)
+	}
+}
--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/peer"
 )
 
 const (
@@ -14,6 +15,8 @@
 	// longPollPause is the pause between two long polls, so that one poll returns
 	// several events.
 	longPollPause = 150 * time.Millisecond
+	// relayPollPause is the pause between two long polls of a host that polls for others.
+	relayPollPause = 450 * time.Millisecond
 	// pollRetryPause is the pause after a poll that failed. The operators of the
 	// targets bill a poll that is refused (429, too many at once) like a health
 	// probe.
@@ -33,16 +36,8 @@
 	scanInterval = 50 * time.Millisecond
 )
 
-// CacheEvent reports that a target or a store has cached or removed a prompt
-// part.
-type CacheEvent struct {
-	Removed bool
-	// Namespace is the cache namespace of the part.
-	Namespace string
-	Part      string
-	// Tokens is the length of the part.
-	Tokens int
-}
+// CacheEvent reports that a target or a store has cached or removed a prompt part.
+type CacheEvent = peer.CacheEvent
 
 // CacheEvents contains the events of one poll in order.
 type CacheEvents struct {
@@ -67,15 +62,15 @@
 	CacheEvents(ctx context.Context, address string, since int64, wait time.Duration) (CacheEvents, error)
 }
 
-// WatchCaches polls all engines for cache events until ctx ends. Events are
-// hints: if one is missed, a part that is cached may be computed again.
+// WatchCaches polls engines for cache events until ctx ends. FollowCaches asks peers for
+// those of the other engines. Events are hints: if one is missed, a part that is cached may be computed again.
 func (g *Gateway) WatchCaches(ctx context.Context, caller CacheEventCaller) {
 	var watchers sync.WaitGroup
 	watched := map[string]context.CancelFunc{}
 	clock.Every(ctx, g.Clock, scanInterval, func(ctx context.Context) {
 		listed := map[string]bool{}
 		for _, t := range g.Fleet.Targets() {
-			if len(t.Versions) == 0 {
+			if len(t.Versions) == 0 || !g.pollsSource(t.ID, g.pollLimit(t.Service)) {
 				continue
 			}
 			listed[t.ID] = true
@@ -106,6 +101,9 @@
 	if g.HostCount == nil || limit <= 0 || g.HostCount() <= limit {
 		return longPollWait, longPollPause
 	}
+	if g.CacheRelay != nil {
+		return longPollWait, relayPollPause
+	}
 	cycle := time.Duration(float64(g.HostCount()) / (shortPollShare * float64(limit)) * float64(shortPollWait))
 	return shortPollWait, max(cycle, shortPollCycle) - shortPollWait
 }
@@ -128,7 +126,8 @@
 }
 
 func (g *Gateway) watchCache(ctx context.Context, caller CacheEventCaller, id string) {
-	var since, epoch int64
+	since := g.startPolling(id)
+	defer g.stopPolling(id)
 	for ctx.Err() == nil {
 		t, ok := g.Fleet.Find(id)
 		if !ok {
@@ -146,8 +145,8 @@
 			pause = pollRetryPause
 		} else {
 			g.logDecodeErr(id, events.DecodeErr)
-			g.applyCacheEvents(id, epoch != 0 && events.Epoch != epoch, events)
-			since, epoch = events.Next, events.Epoch
+			since = events.Next
+			g.applyEvents(id, events, g.Steady.Now())
 		}
 		_ = clock.Sleep(ctx, g.Clock, pause) // The loop checks ctx.
 	}
@@ -168,9 +167,8 @@
 	}
 }
 
+// applyCacheEvents applies the events of an engine. The lock must be held.
 func (g *Gateway) applyCacheEvents(id string, restarted bool, events CacheEvents) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if restarted {
 		g.placer.ClearCache(id)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,8 +43,10 @@
 	// HostCount returns the number of live entry hosts. If it is nil, few hosts are
 	// assumed.
 	HostCount func() int
-	Log       *log.Logger
-	Metrics   metrics.Registry
+	// CacheRelay may be nil. This host then polls all engines and stores.
+	CacheRelay CacheRelay
+	Log        *log.Logger
+	Metrics    metrics.Registry
 
 	routes atomic.Pointer[routing.Config]
 
@@ -60,6 +62,10 @@
 	// which it was last avoided. The entry is removed when the target answers.
 	avoidFactors map[string]int
 	stores       map[string]*cacheStore
+	// cacheLogs contains the state of each source of cache events by name, roles which
+	// groups of them this host polls.
+	cacheLogs map[string]*cacheLog
+	roles     cacheRoles
 	// leaving contains the latest targets that said in an answer that they are leaving.
 	leaving []leavingTarget
 	// bytesPerToken is the size of a cached token on the engines, and fetchRate
@@ -89,6 +95,7 @@
 	g.swapping = map[string]bool{}
 	g.avoidFactors = map[string]int{}
 	g.stores = map[string]*cacheStore{}
+	g.cacheLogs = map[string]*cacheLog{}
 }
 
 // Routes returns the current configuration, or nil before the first one.
--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -61,7 +62,6 @@
 	// pending maps the parts that were sent to the store, but not yet reported by
 	// it, to the time at which they were sent.
 	pending map[prefix.Key]time.Time
-	cancel  context.CancelFunc
 }
 
 // readable reports whether parts may be read from the store now.
@@ -89,46 +89,71 @@
 // takes.
 const crossDomainFactor = 2
 
-// WatchStores tracks the contents of the managed stores until ctx ends.
+// WatchStores tracks the contents of the managed stores until ctx ends. It polls those
+// that this host has to poll. FollowCaches asks peers about the others.
 func (g *Gateway) WatchStores(ctx context.Context, caller CacheEventCaller) {
 	var watchers sync.WaitGroup
+	watched := map[*cacheStore]context.CancelFunc{}
 	clock.Every(ctx, g.Clock, scanInterval, func(ctx context.Context) {
-		cfg := g.routes.Load()
-		if cfg == nil {
-			return
-		}
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		for name, service := range cfg.Services {
-			if service.Store == nil || !service.Store.Managed || g.stores[name] != nil {
+		polled := map[*cacheStore]bool{}
+		for name, s := range g.updateStores() {
+			if !g.pollsSource(name, s.spec.MaxEventCalls) {
 				continue
 			}
-			ctx, cancel := context.WithCancel(ctx)
-			s := &cacheStore{spec: *service.Store, parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{}, pending: map[prefix.Key]time.Time{}, cancel: cancel}
-			g.stores[name] = s
-			watchers.Go(func() { g.watchStore(ctx, caller, name, s) })
+			polled[s] = true
+			if watched[s] == nil {
+				ctx, cancel := context.WithCancel(ctx)
+				watched[s] = cancel
+				watchers.Go(func() { g.watchStore(ctx, caller, name, s) })
+			}
 		}
-		for name, s := range g.stores {
-			if service := cfg.Services[name]; service.Store == nil || service.Store.Address != s.spec.Address {
-				s.cancel()
-				delete(g.stores, name)
+		for s, cancel := range watched {
+			if !polled[s] {
+				cancel()
+				delete(watched, s)
 			}
 		}
 	})
+	for _, cancel := range watched {
+		cancel()
+	}
 	watchers.Wait()
 }
 
+// updateStores adds the managed stores of the configuration, removes those that it no
+// longer contains, and returns them by name.
+func (g *Gateway) updateStores() map[string]*cacheStore {
+	cfg := g.routes.Load()
+	if cfg == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, s := range g.stores {
+		if service := cfg.Services[name]; service.Store == nil || service.Store.Address != s.spec.Address {
+			delete(g.stores, name)
+			delete(g.cacheLogs, name)
+		}
+	}
+	for name, service := range cfg.Services {
+		if service.Store != nil && service.Store.Managed && g.stores[name] == nil {
+			g.stores[name] = &cacheStore{spec: *service.Store, parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{}, pending: map[prefix.Key]time.Time{}}
+		}
+	}
+	return maps.Clone(g.stores)
+}
+
 func (g *Gateway) watchStore(ctx context.Context, caller CacheEventCaller, name string, s *cacheStore) {
-	defer s.cancel()
-	var since int64
+	since := g.startPolling(name)
+	defer g.stopPolling(name)
 	unavailable := false
 	for ctx.Err() == nil {
 		wait, pause := g.pollTiming(s.spec.MaxEventCalls)
 		events, err := caller.CacheEvents(ctx, s.spec.Address, since, wait)
 		if err == nil {
 			g.logDecodeErr(name, events.DecodeErr)
-			g.applyStoreEvents(name, s, events)
 			since = events.Next
+			g.applyEvents(name, events, g.Steady.Now())
 		} else if ctx.Err() == nil {
 			pause = pollRetryPause
 			g.markStoreUnavailable(s)
@@ -149,10 +174,9 @@
 	s.answeredAt = time.Time{}
 }
 
-func (g *Gateway) applyStoreEvents(name string, s *cacheStore, events CacheEvents) {
-	now := g.Steady.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// applyStoreEvents applies the events of a store that answered at answeredAt. The lock
+// must be held.
+func (g *Gateway) applyStoreEvents(name string, s *cacheStore, events CacheEvents, answeredAt time.Time) {
 	if events.Epoch != s.epoch {
 		g.Log.Info().Str("part", "stores").Str("store", name).Int64("epoch", events.Epoch).Int64("before", s.epoch).
 			Int("parts", len(s.parts)).Msg("stores: store is new or has restarted without data")
@@ -161,9 +185,9 @@
 		clear(s.parts)
 		clear(s.namespaces)
 		clear(s.pending)
-		s.savesFrom = now.Add(saveDelay)
+		s.savesFrom = g.Steady.Now().Add(saveDelay)
 	}
-	s.targetClock, s.answeredAt = events.Clock, now
+	s.targetClock, s.answeredAt = events.Clock, answeredAt
 	for _, event := range events.Events {
 		s.apply(event)
 	}
--- a/internal/gateway/stores_test.go
+++ b/internal/gateway/stores_test.go
@@ -54,7 +54,7 @@
 	}})
 	s := &cacheStore{
 		spec:  routing.CacheStore{Address: storeAddress, Tokens: 5000, LinkBytesPerSecond: 2e10, FailureDomain: "north"},
-		parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{}, pending: map[prefix.Key]time.Time{}, cancel: func() {},
+		parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{}, pending: map[prefix.Key]time.Time{},
 	}
 	g.stores["s"] = s
 	return g, s, c
@@ -86,12 +86,12 @@
 
 func TestPartIsSavedOnceAndThenFetched(t *testing.T) {
 	g, s, c := newStoreGateway(t)
-	g.applyStoreEvents("s", s, newEvents(7, 5000))
+	g.applyStoreEvents("s", s, newEvents(7, 5000), g.Steady.Now())
 	if at := g.place(storeWork("w0")); at.save != nil {
 		t.Errorf("saved to %v right after the store's first answer", at.save)
 	}
 	c.now = c.now.Add(saveDelay)
-	g.applyStoreEvents("s", s, newEvents(7, 8000))
+	g.applyStoreEvents("s", s, newEvents(7, 8000), g.Steady.Now())
 	first, second := g.place(storeWork("w1")), g.place(storeWork("w2"))
 	if diff := cmp.Diff([]string{storeAddress, ""}, first.save); diff != "" {
 		t.Errorf("saved (-want +got):\n%s", diff)
@@ -99,7 +99,7 @@
 	if second.save != nil {
 		t.Errorf("saved again: %v", second.save)
 	}
-	g.applyStoreEvents("s", s, newEvents(7, 8100, storedEvent(sharedNamespace)))
+	g.applyStoreEvents("s", s, newEvents(7, 8100, storedEvent(sharedNamespace)), g.Steady.Now())
 	g.placer.ClearCache("e1")
 	third := g.place(storeWork("w3"))
 	if diff := cmp.Diff([]string{storeAddress, ""}, third.fetch); diff != "" {
@@ -113,9 +113,9 @@
 func TestNothingIsSavedToFullStore(t *testing.T) {
 	g, s, c := newStoreGateway(t)
 	s.spec.Tokens = 900
-	g.applyStoreEvents("s", s, newEvents(7, 5000))
+	g.applyStoreEvents("s", s, newEvents(7, 5000), g.Steady.Now())
 	c.now = c.now.Add(saveDelay)
-	g.applyStoreEvents("s", s, newEvents(7, 8000))
+	g.applyStoreEvents("s", s, newEvents(7, 8000), g.Steady.Now())
 	if at := g.place(storeWork("w1")); at.save != nil {
 		t.Errorf("saved to a full store: %v", at.save)
 	}
@@ -125,13 +125,13 @@
 // last call has failed.
 func TestSilentStoreIsNotReadFrom(t *testing.T) {
 	g, s, c := newStoreGateway(t)
-	g.applyStoreEvents("s", s, newEvents(7, 5000, storedEvent(sharedNamespace)))
+	g.applyStoreEvents("s", s, newEvents(7, 5000, storedEvent(sharedNamespace)), g.Steady.Now())
 	g.placer.ClearCache("e1")
 	c.now = c.now.Add(readLease)
 	if at := g.place(storeWork("w1")); at.fetch != nil {
 		t.Errorf("fetched from a silent store: %v", at.fetch)
 	}
-	g.applyStoreEvents("s", s, newEvents(7, 8000))
+	g.applyStoreEvents("s", s, newEvents(7, 8000), g.Steady.Now())
 	g.markStoreUnavailable(s)
 	g.placer.ClearCache("e1")
 	if at := g.place(storeWork("w2")); at.fetch != nil {
@@ -185,7 +185,7 @@
 	g.Fleet.Put(fleet.Target{ID: "e1", Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 2}})
 	g.TargetsChanged()
 	c.now = c.now.Add(obsoleteAfter)
-	g.applyStoreEvents("s", s, newEvents(7, 9000, storedEvent(sharedNamespace)))
+	g.applyStoreEvents("s", s, newEvents(7, 9000, storedEvent(sharedNamespace)), g.Steady.Now())
 	c.now = c.now.Add(time.Second)
 	g.FreeObsoleteParts(context.Background(), 600*time.Millisecond)
 	if want := int64(9000 + 1000 + 600); freer.until != want {
@@ -201,7 +201,7 @@
 	g, s, c := newStoreGateway(t)
 	freer := &fakeFreer{err: errors.New("lost")}
 	g.Freer = freer
-	g.applyStoreEvents("s", s, newEvents(7, 5000, storedEvent(sharedNamespace)))
+	g.applyStoreEvents("s", s, newEvents(7, 5000, storedEvent(sharedNamespace)), g.Steady.Now())
 	g.SetVersion("m", 2)
 	steps := []struct {
 		change func()
@@ -220,7 +220,7 @@
 	}
 	for i, step := range steps {
 		step.change()
-		g.applyStoreEvents("s", s, newEvents(7, 9000))
+		g.applyStoreEvents("s", s, newEvents(7, 9000), g.Steady.Now())
 		if got := g.HasObsoleteParts(); got != step.want {
 			t.Errorf("step %d: obsolete %t, want %t", i, got, step.want)
 		}
@@ -269,7 +269,7 @@
 		if !m.complete.IsZero() && !m.now.Before(m.complete) {
 			events.Events = []CacheEvent{storedEvent(sharedNamespace)}
 		}
-		h.g.applyStoreEvents("s", h.s, events)
+		h.g.applyStoreEvents("s", h.s, events, h.g.Steady.Now())
 	case "lost":
 		h.g.markStoreUnavailable(h.s)
 	case "restart":
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -4,6 +4,7 @@
 package membership
 
 import (
+	"cmp"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -298,6 +299,38 @@
 	return best
 }
 
+// Owners returns the names of up to n alive members with the highest rendezvous hashes for
+// a name, the highest first. Members that are known only from the list of hosts, with
+// incarnation 0, are left out.
+func (t *Table) Owners(name string, n int) []string {
+	type scored struct {
+		name string
+		hash uint64
+	}
+	best := make([]scored, 0, n+1)
+	add := func(m *Member) {
+		s := scored{m.Name, ownerHash(m.Name, name)}
+		i, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.hash, a.hash) })
+		if i < n {
+			best = slices.Insert(best, i, s)
+			best = best[:min(n, len(best))]
+		}
+	}
+	if t.self.Status == Alive {
+		add(&t.self)
+	}
+	for _, e := range t.entries {
+		if e.member.Status == Alive && e.member.Incarnation > 0 {
+			add(&e.member)
+		}
+	}
+	names := make([]string, len(best))
+	for i, s := range best {
+		names[i] = s.name
+	}
+	return names
+}
+
 // Rank returns the number of other alive members that have a higher rendezvous hash for a
 // name than the host itself. Members that are known only from the list of hosts, with
 // incarnation 0, don't count. Hosts with different views may disagree.
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -105,10 +105,12 @@
 	Records RecordFollower
 	// Tables may be nil on hosts that follow no tables.
 	Tables TableSource
+	// Caches may be nil on hosts that poll no cache events.
+	Caches CacheProvider
 	// Contact tells when this host itself last reached the table service. If it is nil,
 	// Records does.
 	Contact ContactProvider
-	Ledger LedgerTable
+	Ledger  LedgerTable
 	// LoadMaxAge is how long the loads in a peer's report are used. The default is
 	// reportMaxAge.
 	LoadMaxAge time.Duration
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -150,8 +150,12 @@
 }
 
 // rendezvousKey returns the rendezvous key of a request. Requests with the same
-// first block have the same key and therefore prefer the same targets.
+// affinity or, without one, the same first block have the same key and therefore prefer
+// the same targets. The first block of a prompt may be common to all requests of a kind.
 func rendezvousKey(req *Request) uint64 {
+	if req.Affinity != 0 {
+		return req.Affinity
+	}
 	if len(req.Chain) > 0 {
 		return binary.LittleEndian.Uint64(req.Chain[0][:8])
 	}
