Copy placements to a peer each second and write them each 10 s

All hosts sent their copies to the same peer, the first one by name, and a batch of 512 rows is longer than the 64 KiB of a row, so that it could never have been written after a long outage. Change: unwritten rows are copied to a peer each second (ledger.copyEvery), chosen by the hash of the host's name; each 10 s all batches are written in one transaction of at most 200 rows, and the copies released. Five hosts read the tables instead of nine, when there are more than 12; how old a read of any host may be follows from the time in which a change must be in force.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -208,7 +208,10 @@
 	// FlushEvery is the minimum time between two writes of a host, and BatchRows the
 	// maximum number of rows in a batch.
 	FlushEvery Duration `json:"flushEvery"`
-	BatchRows  int      `json:"batchRows"`
+	// CopyEvery is the time between two copies of unwritten placements to another host. 0
+	// makes copies only after a failed write.
+	CopyEvery Duration `json:"copyEvery"`
+	BatchRows int      `json:"batchRows"`
 	// WritesPerSecond limits the writes of all entry hosts together. With many hosts,
 	// the time between two writes of a host is longer than FlushEvery.
 	WritesPerSecond float64 `json:"writesPerSecond"`
--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -105,17 +105,29 @@
 	ChangeWait Duration `json:"changeWait"`
 	// TargetPoll is the pause between two calls that read the list of targets.
 	TargetPoll Duration `json:"targetPoll"`
-	// Readers is the number of hosts that read changes from the table service themselves.
-	// The others follow its tables through their peers. A host does so only while it knows
-	// of a contact of any host with the service within ContactMaxAge.
-	Readers       int      `json:"readers"`
-	ContactMaxAge Duration `json:"contactWithin"`
+	// Readers is the number of hosts that read changes from the table service themselves if
+	// there are more than ReadAlone hosts. The others follow its tables through their peers.
+	// A host does so only while it knows of a recent read of any host.
+	Readers   int `json:"readers"`
+	ReadAlone int `json:"readAlone"`
+	// ChangeWithin is the time in which a change must be in force on all hosts. A read is
+	// recent for contactShare of it.
+	ChangeWithin Duration `json:"changeWithin"`
 	// LeaveTimeout is the time in which a leaving target must stop getting requests. It
 	// only limits the delay of removals after an outage of the table service, see package
 	// fleet. Otherwise a leaving target gets no more requests as soon as its row is read.
 	LeaveTimeout Duration `json:"leaveWithin"`
 }
 
+// contactShare is the share of ChangeWithin for which a read of any host is recent. In
+// the rest of it, a host reads the change itself.
+const contactShare = 0.5
+
+// ContactMaxAge returns for how long a read of any host is recent.
+func (t *Table) ContactMaxAge() time.Duration {
+	return time.Duration(contactShare * float64(t.ChangeWithin.Duration))
+}
+
 // RoutedRetries configures the retries of routed requests.
 type RoutedRetries struct {
 	// BudgetPercent is the allowed number of retries per 100 requests of a service on
@@ -197,8 +209,9 @@
 			ChangeWait:      DurationOf(1500 * time.Millisecond),
 			TargetPoll:      DurationOf(500 * time.Millisecond),
 			LeaveTimeout:    DurationOf(2 * time.Second),
-			Readers:         9,
-			ContactMaxAge:   DurationOf(2 * time.Second),
+			Readers:         5,
+			ReadAlone:       12,
+			ChangeWithin:    DurationOf(3 * time.Second),
 		},
 		Placement: base.Placement,
 		Slowness:  base.Slowness,
@@ -212,7 +225,7 @@
 			SuspectAttempts: 2,
 			SuspectTTL:      DurationOf(2 * time.Minute),
 		},
-		Ledger:  Ledger{FlushEvery: DurationOf(3 * time.Second), BatchRows: 512, WritesPerSecond: 20, BufferRows: 20_000},
+		Ledger:  Ledger{FlushEvery: DurationOf(10 * time.Second), CopyEvery: DurationOf(time.Second), BatchRows: 200, WritesPerSecond: 20, BufferRows: 20_000},
 		Rollout: Rollout{LeaseTTL: DurationOf(2 * time.Second), QuietPeriod: DurationOf(3 * time.Second), QuietMargin: DurationOf(800 * time.Millisecond), SwapShare: 0.16, ConcurrentLoads: 2, Drain: DurationOf(300 * time.Millisecond), SettleDelay: DurationOf(150 * time.Millisecond), KeepRuns: true, RepeatAfter: DurationOf(6 * time.Second), TimeLimit: DurationOf(12 * time.Second), Margin: DurationOf(1500 * time.Millisecond)},
 
 		PrefillTokensPerSecond: 60_000,
@@ -256,6 +269,7 @@
 	k.positive(c.Table.ReadsPerSecond, "/table/readsPerSecond", "calls per second")
 	k.positive(c.Table.WritesPerSecond, "/table/writesPerSecond", "calls per second")
 	k.positive(float64(c.Table.Readers), "/table/readers", "hosts")
+	k.require(c.Table.ReadAlone >= 0, "/table/readAlone", "readAlone: want zero or more hosts, got %d", c.Table.ReadAlone)
 	k.positive(float64(c.Table.BreakerFailures), "/table/breakerFailures", "calls")
 	k.positive(c.PrefillTokensPerSecond, "/prefillTokensPerSecond", "tokens per second")
 	k.positive(c.PlainSlotRate, "/plainRate", "requests per second")
@@ -270,7 +284,7 @@
 		"/table/changeWait":    c.Table.ChangeWait,
 		"/table/targetPoll":    c.Table.TargetPoll,
 		"/table/leaveWithin":   c.Table.LeaveTimeout,
-		"/table/contactWithin": c.Table.ContactMaxAge,
+		"/table/changeWithin":  c.Table.ChangeWithin,
 		"/ledger/flushEvery":   c.Ledger.FlushEvery,
 		"/peers/interval":      c.Peers.Interval,
 		"/rollout/lease":       c.Rollout.LeaseTTL,
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -134,7 +134,7 @@
 	h.fleet.LeaveTimeout = cfg.Table.LeaveTimeout.Duration
 	h.ledgerWriter = &ledger.Writer{
 		Host: cfg.Host, Incarnation: incarnation, Table: h.table, Clock: h.Clock, Log: h.Log,
-		FlushEvery: cfg.Ledger.FlushEvery.Duration, BatchRows: cfg.Ledger.BatchRows, BufferRows: cfg.Ledger.BufferRows,
+		FlushEvery: cfg.Ledger.FlushEvery.Duration, CopyEvery: cfg.Ledger.CopyEvery.Duration, BatchRows: cfg.Ledger.BatchRows, BufferRows: cfg.Ledger.BufferRows,
 		WritesPerSecond: cfg.Ledger.WritesPerSecond,
 	}
 	h.gateway = &gateway.Gateway{
@@ -200,7 +200,9 @@
 	followers := tableCopies{operators, targets, shared}
 	for _, f := range followers {
 		f.Client, f.Relay, f.Clock, f.Log = h.table, h.group, h.Clock, h.Log
-		f.ReadsService = func() bool { return h.group.ReadsTables(table.Readers, table.ContactMaxAge.Duration) }
+		f.ReadsService = func() bool {
+			return h.group.HostCount() <= table.ReadAlone || h.group.ReadsTables(table.Readers, table.ContactMaxAge())
+		}
 	}
 	return followers
 }
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -83,6 +83,9 @@
 	Log         *log.Logger
 	// FlushEvery is the minimum time between two flushes by Run.
 	FlushEvery time.Duration
+	// CopyEvery is the time between two copies of unwritten batches to Mirror by Run. 0
+	// makes copies only after a failed write.
+	CopyEvery time.Duration
 	// HostCount returns the number of alive entry hosts. If it is nil, WritesPerSecond
 	// has no effect.
 	HostCount func() int
@@ -142,7 +145,15 @@
 
 // Run writes batches until ctx ends.
 func (w *Writer) Run(ctx context.Context) error {
-	for clock.Sleep(ctx, w.Clock, w.Interval()) == nil {
+	lastFlush := w.Clock.Now()
+	for clock.Sleep(ctx, w.Clock, w.pause()) == nil {
+		if w.CopyEvery > 0 && w.Clock.Now().Sub(lastFlush) < w.Interval() {
+			if err := w.copyUnwritten(ctx); err != nil && ctx.Err() == nil {
+				w.Log.Warn().Str("part", "ledger").Int("rows", w.Buffered()).Err(err).Msg("ledger: copying batches to a peer failed; rows stay buffered")
+			}
+			continue
+		}
+		lastFlush = w.Clock.Now()
 		if err := w.Flush(ctx); err != nil && ctx.Err() == nil {
 			w.Log.Warn().Str("part", "ledger").Int("rows", w.Buffered()).Err(err).Msg("ledger: writing batches failed; rows stay buffered")
 		}
@@ -150,6 +161,25 @@
 	return nil
 }
 
+// pause returns the time between two steps of Run.
+func (w *Writer) pause() time.Duration {
+	if w.CopyEvery > 0 {
+		return min(w.CopyEvery, w.Interval())
+	}
+	return w.Interval()
+}
+
+// copyUnwritten copies the rows added so far to another host, so that they survive this
+// one until they are written.
+func (w *Writer) copyUnwritten(ctx context.Context) error {
+	w.flushMu.Lock()
+	defer w.flushMu.Unlock()
+	w.mu.Lock()
+	w.seal()
+	w.mu.Unlock()
+	return w.mirrorSealed(ctx)
+}
+
 // Interval returns the time between two flushes by Run. It grows with the number of
 // hosts, so that all of them together stay within WritesPerSecond.
 func (w *Writer) Interval() time.Duration {
@@ -170,20 +200,27 @@
 	w.restoreLost()
 	w.mu.Unlock()
 	for {
-		batch := w.firstSealed()
-		if batch == nil {
+		batches := w.firstSealed()
+		if len(batches) == 0 {
 			return nil
 		}
-		if err := WriteBatch(ctx, w.Table, batch); err != nil {
-			return w.mirrorSealed(ctx, err)
+		if err := WriteBatches(ctx, w.Table, batches); err != nil {
+			if mirrorErr := w.mirrorSealed(ctx); mirrorErr != nil {
+				return fmt.Errorf("%w (copying the batch to a peer failed as well: %w)", err, mirrorErr)
+			}
+			return err
 		}
-		if batch.mirrored {
-			w.Mirror.Release(ctx, batch)
+		for _, batch := range batches {
+			if batch.mirrored {
+				w.Mirror.Release(ctx, batch)
+			}
 		}
 		w.mu.Lock()
-		w.sealed = w.sealed[1:]
-		w.buffered -= len(batch.Rows)
-		w.kept.Add(w.Clock.Now(), batch)
+		w.sealed = w.sealed[len(batches):]
+		for _, batch := range batches {
+			w.buffered -= len(batch.Rows)
+			w.kept.Add(w.Clock.Now(), batch)
+		}
 		w.mu.Unlock()
 	}
 }
@@ -214,21 +251,27 @@
 	return len(w.open) == 0 && !anyUnmirrored
 }
 
-func (w *Writer) firstSealed() *Batch {
+// firstSealed returns the sealed batches that the next transaction writes. They have at
+// most BatchRows rows, unless the first one alone has more.
+func (w *Writer) firstSealed() []*Batch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.sealed) == 0 {
-		return nil
+	rows := 0
+	for i, batch := range w.sealed {
+		if rows += len(batch.Rows); i > 0 && (rows > w.BatchRows || i == maxWriteBatches) {
+			return w.sealed[:i]
+		}
 	}
-	return w.sealed[0]
+	return w.sealed
 }
 
-// mirrorSealed stores copies of the sealed batches on another host after a failed
-// write. It returns the error of the write, cause, and adds the error of the copy if
-// that fails too.
-func (w *Writer) mirrorSealed(ctx context.Context, cause error) error {
+// maxWriteBatches is the maximum number of batches in one transaction.
+const maxWriteBatches = 40
+
+// mirrorSealed stores copies of the sealed batches on another host.
+func (w *Writer) mirrorSealed(ctx context.Context) error {
 	if w.Mirror == nil {
-		return cause
+		return nil
 	}
 	w.mu.Lock()
 	batches := slices.Clone(w.sealed)
@@ -238,11 +281,40 @@
 			continue
 		}
 		if err := w.Mirror.Keep(ctx, batch); err != nil {
-			return fmt.Errorf("%w (copying the batch to a peer failed as well: %w)", cause, err)
+			return err
 		}
 		batch.mirrored = true
 	}
-	return cause
+	return nil
+}
+
+// WriteBatches writes batches in one transaction. Those that are stored already are left
+// as they are.
+func WriteBatches(ctx context.Context, table TableProvider, batches []*Batch) error {
+	if len(batches) > 1 {
+		tx := platform.Transaction{}
+		for _, batch := range batches {
+			data, err := json.Marshal(batch)
+			if err != nil {
+				return fmt.Errorf("encoding ledger batch: %w", err)
+			}
+			tx.Conditions = append(tx.Conditions, platform.Condition{Table: tableLedger, Key: batch.Key(), Version: 0})
+			tx.Writes = append(tx.Writes, platform.Write{Table: tableLedger, Key: batch.Key(), Value: data})
+		}
+		err := table.Commit(ctx, tx)
+		if err == nil {
+			return nil
+		}
+		if !platform.IsConflict(err) {
+			return fmt.Errorf("writing %d ledger batches: %w", len(batches), err)
+		}
+	}
+	for _, batch := range batches {
+		if err := WriteBatch(ctx, table, batch); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // WriteBatch writes a batch unless it is stored already. It is idempotent, and any
--- a/internal/ledger/writer_test.go
+++ b/internal/ledger/writer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -157,3 +158,44 @@
 		})
 	}
 }
+
+// Rows must be copied to a peer soon, written later in one transaction, and then released.
+// A batch that is stored already must not keep the others from being written.
+func TestUnwrittenRowsAreCopied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := standin.NewPlatform(clock.System{})
+		table := &standin.DirectTable{Platform: service}
+		mirror := &fakeMirror{batches: map[string]*ledger.Batch{}}
+		w := newWriter("one", 1, table, mirror)
+		w.Clock, w.FlushEvery, w.CopyEvery = clock.System{}, 10*time.Second, time.Second
+		ctx, end := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		for i := range 4 {
+			w.Add(ledger.Row{RequestID: fmt.Sprint(i), ClientAccount: "orders", Model: "letters", At: time.Unix(0, 0)})
+			time.Sleep(1100 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		if _, commits := service.Counts(); len(mirror.batches) == 0 || commits != 0 || !w.Mirrored() {
+			t.Errorf("after 5 s: %d batches at the peer, %d commits, all copied %t; want some, none, true", len(mirror.batches), commits, w.Mirrored())
+		}
+		for _, batch := range mirror.batches {
+			if err := ledger.WriteBatch(ctx, table, batch); err != nil {
+				t.Fatal(err)
+			}
+			break
+		}
+		time.Sleep(10 * time.Second)
+		report, err := ledger.Sum(ctx, table)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(mirror.batches) != 0 || w.Buffered() != 0 || report.Repeated != 0 || report.Totals[0].Placements != 4 {
+			t.Errorf("%d batches at the peer, %d rows buffered, report %+v; want none, none, 4 placements", len(mirror.batches), w.Buffered(), report)
+		}
+		end()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/internal/peer/batches.go
+++ b/internal/peer/batches.go
@@ -138,25 +138,20 @@
 }
 
 // batchHolder returns the peer to which this host currently sends copies of its
-// batches: the first live one by name, preferably in another failure domain. A peer with
-// incarnation 0 is not chosen, because it is known only from the host list.
+// batches: the live one with the highest rendezvous hash for the name of this host,
+// preferably in another failure domain, so that the copies are spread over the hosts. A
+// peer with incarnation 0 is not chosen, because it is known only from the host list.
 func (g *Group) batchHolder() (membership.Member, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var sameDomain *membership.Member
-	for _, m := range g.members.Members() {
-		if m.Name == g.Self.Name || m.Status != membership.Alive || m.Incarnation == 0 {
-			continue
-		}
-		if m.FailureDomain != g.Self.FailureDomain {
-			return m, true
-		}
-		if sameDomain == nil {
-			sameDomain = &m
-		}
+	usable := func(m membership.Member) bool {
+		return m.Name != g.Self.Name && m.Status == membership.Alive && m.Incarnation > 0
 	}
-	if sameDomain == nil {
-		return membership.Member{}, false
+	name := g.members.OwnerAmong(g.Self.Name, func(m membership.Member) bool {
+		return usable(m) && m.FailureDomain != g.Self.FailureDomain
+	})
+	if name == "" {
+		name = g.members.OwnerAmong(g.Self.Name, usable)
 	}
-	return *sameDomain, true
+	return g.members.Get(name)
 }
