Read the shared table in steps and apply peers' loads less often with many hosts

Cause: the rows that hosts write when they start wake every reader once each, and the loads of all peers were added up 20 times a second, with a sort of all members, whatever their number. Change: 150 ms between two reads of the shared table; loads are applied each 50 ms, with more than 50 hosts each millisecond times their number; fresh reports are found without a sort.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -46,6 +46,10 @@
 // copy of it only costs time, because every write that depends on it is conditional.
 const sharedWait = 10 * time.Second
 
+// sharedPause is the pause between two calls for changes of the shared table, so that one
+// call returns the rows that many hosts write when they start.
+const sharedPause = 150 * time.Millisecond
+
 // RoutedHost is an entry host whose configuration is stored in the table service.
 // Its exported fields must be set before Run.
 type RoutedHost struct {
@@ -189,7 +193,7 @@
 		OnUnavailable: h.fleet.TableUnavailable, OnAvailable: func() { h.fleet.TableAvailable(h.Clock.Now()) },
 	}
 	shared := &platform.Follower{
-		Table: platform.SharedTable, Wait: sharedWait,
+		Table: platform.SharedTable, Wait: sharedWait, Pause: sharedPause,
 		Apply: func(rows []platform.Row, full bool) {
 			h.leader.ApplyRows(rows, full)
 			h.hosts.ApplyRows(rows, full)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,9 +15,14 @@
 	maxReportLoads    = 64
 )
 
-// peerLoadInterval is the interval at which the loads reported by peers are
-// applied.
-const peerLoadInterval = 50 * time.Millisecond
+const (
+	// peerLoadInterval is the interval at which the loads reported by peers are
+	// applied with few hosts.
+	peerLoadInterval = 50 * time.Millisecond
+	// peerLoadPerHost is the part of the interval for each host, so that the time that it
+	// takes does not grow with the hosts.
+	peerLoadPerHost = time.Millisecond
+)
 
 // LoadProvider provides what the other hosts have placed on targets.
 type LoadProvider interface {
@@ -26,15 +31,23 @@
 
 // FollowPeers applies the loads reported by peers until ctx ends.
 func (g *Gateway) FollowPeers(ctx context.Context, peers LoadProvider) {
-	clock.Every(ctx, g.Clock, peerLoadInterval, func(context.Context) {
-		loads := peers.Loads()
-		now := g.Clock.Now()
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		for _, t := range g.Fleet.Targets() {
-			g.placer.SetPeerLoad(now, t.ID, loads[t.ID])
+	interval := peerLoadInterval
+	for clock.Sleep(ctx, g.Clock, interval) == nil {
+		g.applyPeerLoads(peers.Loads())
+		if g.HostCount != nil {
+			interval = max(peerLoadInterval, time.Duration(g.HostCount())*peerLoadPerHost)
 		}
-	})
+	}
+}
+
+func (g *Gateway) applyPeerLoads(loads map[string]placement.TargetLoad) {
+	now := g.Clock.Now()
+	targets := g.Fleet.Targets()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range targets {
+		g.placer.SetPeerLoad(now, t.ID, loads[t.ID])
+	}
 }
 
 // PeerReport returns the report for peers: the number of requests being served,
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -74,19 +74,17 @@
 // count, because they are known only from the host list. The caller must hold g.mu.
 func (g *Group) eachReport(maxAge time.Duration, f func(report *Report)) bool {
 	now := g.Clock.Now()
-	all := true
-	for _, m := range g.members.Members() {
-		if m.Name == g.Self.Name || m.Status != membership.Alive || m.Incarnation == 0 {
+	fresh := 0
+	for name, received := range g.reports {
+		if now.Sub(received.at) > maxAge {
 			continue
 		}
-		received, ok := g.reports[m.Name]
-		if !ok || now.Sub(received.at) > maxAge {
-			all = false
-			continue
+		if m, known := g.members.Get(name); known && m.Status == membership.Alive && m.Incarnation > 0 {
+			f(&received.report)
+			fresh++
 		}
-		f(&received.report)
 	}
-	return all
+	return fresh == g.members.AliveCount()-1
 }
 
 // Loads returns the load that live peers have placed on each target, added up over
