Log the prompt parts of a placement

Cause: from a log it couldn't be told which shared parts a request had, so why they were read again could not be traced from its id.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
+	"sassafrasplank.example/sassafrasplank/internal/work"
 )
 
 func (r *run) logPlacement(at *attempt) {
@@ -29,11 +31,25 @@
 		Float64("penaltySeconds", chosen.Penalty).
 		Int("reusedTokens", chosen.ReusedTokens).
 		Int("promptTokens", r.work.PromptTokens).
+		Str("parts", partsText(r.work.Parts)).
 		Int("candidates", len(at.decision.Considered)).
 		Dur("age", r.g.Clock.Now().Sub(r.work.Received)).
 		Msg("placement: chosen")
 }
 
+// partsText lists the parts of a prompt as KEY:TOKENS, separated by commas.
+func partsText(parts []work.Part) string {
+	var text []byte
+	for i, part := range parts {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = append(append(text, part.Key...), ':')
+		text = strconv.AppendInt(text, int64(part.Tokens), 10)
+	}
+	return string(text)
+}
+
 func (r *run) logFailure(at *attempt, err error, crashes int) {
 	r.g.Log.Warn().Str("part", "attempt").
 		Str("requestId", r.work.ID).
