Name a source for parts that a target is expected to hold as well

Fetches began after the parts that were thought to be there. Change: each part gets its fastest source other than the target itself, whether or not the target is expected to hold it; a target fetches only what it lacks.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -194,7 +194,7 @@
 	if len(w.Parts) > 0 {
 		at.namespace = cacheNamespace(w, version)
 		at.chain = g.chainKeys(w, at)
-		at.sources = g.findSources(w, at.chain, g.bytesPerToken, g.fetchRate)
+		at.sources = g.findSources(w, at.chain)
 		req.Chain = at.chain
 		req.FetchSeconds = make([]float64, len(at.sources))
 		for i := range at.sources {
@@ -206,21 +206,31 @@
 }
 
 // planTransfers decides which parts are fetched from stores or other targets,
-// and which are saved to stores. To the placer, each part is one block. The lock
-// must be held.
+// and which are saved to stores. To the placer, each part is one block. A target fetches
+// only what it does not hold, so parts that it is expected to hold get a source as well:
+// it may have dropped them meanwhile for running requests. The lock must be held.
 func (g *Gateway) planTransfers(w *work.Work, at *attempt) {
-	chosen := &at.decision.Chosen
-	if chosen.Source == placement.SourceFetch {
-		at.fetch = make([]string, len(w.Parts))
-		for i := chosen.FirstBlock; i < chosen.EndBlock; i++ {
-			at.fetch[i] = at.sources[i].address
-			if s := at.sources[i].store; s != nil {
-				until := s.targetClock + readLease.Milliseconds()
-				if at.fetchEnd == 0 || until < at.fetchEnd {
-					at.fetchEnd = until
-				}
-			}
+	at.fetch = make([]string, len(w.Parts))
+	any := false
+	for i, part := range w.Parts[:len(w.Parts)-1] {
+		s := at.sources[i]
+		if s.address == at.target.Address {
+			s = g.findSource(at.chain[i], part.Tokens, at.target.ID)
 		}
+		if s.address == "" || s.seconds > float64(part.Tokens)/g.Config.PrefillTokensPerSecond {
+			continue
+		}
+		any = true
+		at.fetch[i] = s.address
+		if s.store == nil {
+			continue
+		}
+		if until := s.store.targetClock + readLease.Milliseconds(); at.fetchEnd == 0 || until < at.fetchEnd {
+			at.fetchEnd = until
+		}
+	}
+	if !any {
+		at.fetch = nil
 	}
 	at.save = g.chooseStores(w, at.chain)
 }
--- a/internal/gateway/cacherelay_test.go
+++ b/internal/gateway/cacherelay_test.go
@@ -131,7 +131,7 @@
 	var names []string
 	for name, g := range group.hosts {
 		g.mu.Lock()
-		if (g.placer.Holder(partKey(sharedNamespace, part)) != "") != cached && !group.down[name] {
+		if (g.placer.Holder(partKey(sharedNamespace, part), "") != "") != cached && !group.down[name] {
 			names = append(names, name)
 		}
 		g.mu.Unlock()
--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -228,28 +228,35 @@
 // findSources returns the fastest source of each part among stores and targets.
 // The last part has none, since it is specific to the request or its session.
 // The lock must be held.
-func (g *Gateway) findSources(w *work.Work, keys []prefix.Key, bytesPerToken, rate float64) []source {
-	now := g.Steady.Now()
+func (g *Gateway) findSources(w *work.Work, keys []prefix.Key) []source {
 	found := make([]source, len(keys))
 	for i, key := range keys[:len(keys)-1] {
-		bytes := float64(w.Parts[i].Tokens) * bytesPerToken
-		best := &found[i]
-		if holder := g.placer.Holder(key); holder != "" && rate > 0 {
-			if t, ok := g.Fleet.Find(holder); ok {
-				*best = source{address: t.Address, seconds: targetLatencySeconds + bytes/rate}
-			}
+		found[i] = g.findSource(key, w.Parts[i].Tokens, "")
+	}
+	return found
+}
+
+// findSource returns the fastest source of a part other than the target excluded. The
+// lock must be held.
+func (g *Gateway) findSource(key prefix.Key, tokens int, excluded string) source {
+	now := g.Steady.Now()
+	bytes := float64(tokens) * g.bytesPerToken
+	var best source
+	if holder := g.placer.Holder(key, excluded); holder != "" && g.fetchRate > 0 {
+		if t, ok := g.Fleet.Find(holder); ok {
+			best = source{address: t.Address, seconds: targetLatencySeconds + bytes/g.fetchRate}
 		}
-		for _, s := range g.stores {
-			held, ok := s.parts[key]
-			if !ok || held.tokens < w.Parts[i].Tokens || !s.readable(now) {
-				continue
-			}
-			if seconds := s.transferSeconds(bytes, g.FailureDomain); best.address == "" || seconds < best.seconds {
-				*best = source{address: s.spec.Address, seconds: seconds, store: s}
-			}
+	}
+	for _, s := range g.stores {
+		held, ok := s.parts[key]
+		if !ok || held.tokens < tokens || !s.readable(now) {
+			continue
+		}
+		if seconds := s.transferSeconds(bytes, g.FailureDomain); best.address == "" || seconds < best.seconds {
+			best = source{address: s.spec.Address, seconds: seconds, store: s}
 		}
 	}
-	return found
+	return best
 }
 
 // targetLatencySeconds is the time before a transfer between two targets
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -207,18 +207,21 @@
 	}
 }
 
-// Holder returns a reachable target that has cached a prefix, or an empty
-// string if none is known.
-func (b *Placer) Holder(key prefix.Key) string {
-	b.holders = b.cached.Holders(b.holders[:0], []prefix.Key{key}, 1)
+// Holder returns a reachable target other than excluded that has cached a prefix, or an
+// empty string if none is known.
+func (b *Placer) Holder(key prefix.Key, excluded string) string {
+	b.holders = b.cached.Holders(b.holders[:0], []prefix.Key{key}, maxHolders)
 	for _, holder := range b.holders {
-		if e := b.engines[holder.Target]; !e.removed && !e.unreachable {
+		if e := b.engines[holder.Target]; !e.removed && !e.unreachable && e.spec.Name != excluded {
 			return e.spec.Name
 		}
 	}
 	return ""
 }
 
+// maxHolders is the number of holders of a prefix among which Holder chooses.
+const maxHolders = 4
+
 // Avoid excludes a target from new requests until the given time.
 func (b *Placer) Avoid(target string, until time.Time) {
 	if e := b.find(target); e != nil && until.After(e.avoidUntil) {
