--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,9 +6,10 @@
 	"errors"
 	"fmt"
 	"net/url"
-	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/prefix"
@@ -96,12 +97,23 @@
 	return "shared/" + version
 }
 
-// partKey returns the cache key of a prompt part in a namespace.
+// partKey returns the cache key of a prompt part in a namespace. Hosts with many peers
+// compute it for thousands of cache events a second. Keys serve as hints only: targets
+// and stores look parts up by their names.
 func partKey(namespace, part string) prefix.Key {
-	sum := sha256.Sum256([]byte(strconv.Itoa(len(namespace)) + ":" + namespace + part))
-	return prefix.Key(sum[:len(prefix.Key{})])
+	name, text := xxhash.Sum64String(namespace), xxhash.Sum64String(part)
+	var key prefix.Key
+	binary.LittleEndian.PutUint64(key[:8], name*keyFactor1+text)
+	binary.LittleEndian.PutUint64(key[8:], (name^text*keyFactor2)*keyFactor1)
+	return key
 }
 
+// Odd factors that spread the two hashes of a key over its halves.
+const (
+	keyFactor1 = 0x9e3779b97f4a7c15
+	keyFactor2 = 0xc2b2ae3d27d4eb4f
+)
+
 // noChoice is why a request has no target now, and when that changes, if it is known.
 type noChoice struct {
 	why   string
--- a/internal/gateway/cacherelay.go
+++ b/internal/gateway/cacherelay.go
@@ -24,6 +24,9 @@
 	groupWatchers = 6
 	// relayCycle is the time between two calls for the events of a group.
 	relayCycle = 700 * time.Millisecond
+	// relayStep is the time between the calls for two groups, if there is time for all of
+	// them within relayCycle, so that their events aren't applied at the same time.
+	relayStep = 50 * time.Millisecond
 	// maxLogEvents limits the events of a source that a host holds for its peers.
 	maxLogEvents = 2048
 	// roleInterval is the time between two checks of which groups this host polls.
@@ -214,22 +217,33 @@
 		return
 	}
 	round := xxhash.Sum64String(g.Host)
-	clock.Every(ctx, g.Clock, relayCycle, func(ctx context.Context) {
+	var calls sync.WaitGroup
+	for ctx.Err() == nil {
 		round++
-		sources := g.sources()
-		groups := map[string][]string{}
-		for source, limit := range sources {
-			if !g.pollsSource(source, limit) {
-				group := groupOf(source, groupCount(len(sources)))
-				groups[group] = append(groups[group], source)
-			}
-		}
-		var calls sync.WaitGroup
+		groups := g.followedGroups()
+		pause := relayCycle
 		for group, members := range groups {
 			calls.Go(func() { g.followGroup(ctx, group, members, round) })
+			step := min(relayStep, relayCycle/time.Duration(len(groups)))
+			pause -= step
+			_ = clock.Sleep(ctx, g.Clock, step) // The loop checks ctx.
 		}
+		_ = clock.Sleep(ctx, g.Clock, max(0, pause)) // The loop checks ctx.
 		calls.Wait()
-	})
+	}
+}
+
+// followedGroups returns the sources that this host doesn't poll by their groups.
+func (g *Gateway) followedGroups() map[string][]string {
+	sources := g.sources()
+	groups := map[string][]string{}
+	for source, limit := range sources {
+		if !g.pollsSource(source, limit) {
+			group := groupOf(source, groupCount(len(sources)))
+			groups[group] = append(groups[group], source)
+		}
+	}
+	return groups
 }
 
 // followGroup asks one of the hosts that poll a group, another one each round.
