Count the space that a store took for saves it never reported

A part that breaks off keeps its space without an event, so hosts saw free space, went on saving there, and 1.6 million tokens of small parts were never kept anywhere. Change: parts on their way count as space taken; one that isn't reported within 4 s counts as taken with a half-life of 10 s, so saves move to other stores and come back. Ruled out: the list of a store, which stalls it and is billed.

--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -73,3 +73,23 @@
 		}
 	}
 }
+
+// A part that the chosen target is expected to hold must have a source as well, and never
+// the target itself: running requests may have taken its place.
+func TestExpectedPartsHaveSource(t *testing.T) {
+	g, s, c := newStoreGateway(t)
+	g.applyStoreEvents("s", s, newEvents(7, 5000, storedEvent(sharedNamespace)), c.now)
+	first, second := g.place(storeWork("w1")), g.place(storeWork("w2"))
+	if second.decision.Chosen.ReusedTokens == 0 {
+		t.Fatal("the second request does not count on the part that the first one had")
+	}
+	for _, at := range []*attempt{first, second} {
+		if diff := cmp.Diff([]string{storeAddress, ""}, at.fetch); diff != "" {
+			t.Errorf("fetched (-want +got):\n%s", diff)
+		}
+	}
+	g.markStoreUnavailable(s)
+	if at := g.place(storeWork("w3")); at.fetch != nil {
+		t.Errorf("fetched from %v, want nothing, as only the target itself has the part", at.fetch)
+	}
+}
--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -24,9 +24,6 @@
 	// has the state before the restart from reading a part that is just being
 	// written again. It is longer than readLease.
 	saveDelay = 3 * time.Second
-	// savePendingTimeout is how long to wait for a store to report a part that
-	// was sent to it.
-	savePendingTimeout = 4 * time.Second
 	// smallPartTokens is the size up to which a part is saved to the store with
 	// the lowest transfer latency. Larger parts are saved to the store with the
 	// most free space.
@@ -59,9 +56,8 @@
 	answeredAt  time.Time
 	// savesFrom is the time before which nothing is saved to the store.
 	savesFrom time.Time
-	// pending maps the parts that were sent to the store, but not yet reported by
-	// it, to the time at which they were sent.
-	pending map[prefix.Key]time.Time
+	// saves are the parts that were sent to the store lately.
+	saves saves
 }
 
 // readable reports whether parts may be read from the store now.
@@ -72,7 +68,7 @@
 // acceptsSave reports whether a part of the given size may be saved to the
 // store now.
 func (s *cacheStore) acceptsSave(now time.Time, tokens int) bool {
-	return s.readable(now) && !now.Before(s.savesFrom) && s.usedTokens+tokens <= s.spec.Tokens
+	return s.readable(now) && !now.Before(s.savesFrom) && s.usedTokens+s.saves.spaceTaken(now)+roundUp(tokens) <= s.spec.Tokens
 }
 
 // transferSeconds returns the time that the transfer of a part from or to the
@@ -137,7 +133,7 @@
 	}
 	for name, service := range cfg.Services {
 		if service.Store != nil && service.Store.Managed && g.stores[name] == nil {
-			g.stores[name] = &cacheStore{spec: *service.Store, parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{}, pending: map[prefix.Key]time.Time{}}
+			g.stores[name] = &cacheStore{spec: *service.Store, parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{}}
 		}
 	}
 	return maps.Clone(g.stores)
@@ -184,10 +180,11 @@
 		s.usedTokens = 0
 		clear(s.parts)
 		clear(s.namespaces)
-		clear(s.pending)
+		s.saves = saves{}
 		s.savesFrom = g.Steady.Now().Add(saveDelay)
 	}
 	s.targetClock, s.answeredAt = events.Clock, answeredAt
+	s.saves.expire(g.Steady.Now())
 	for _, event := range events.Events {
 		s.apply(event)
 	}
@@ -205,7 +202,7 @@
 	if event.Removed {
 		return
 	}
-	delete(s.pending, key)
+	s.saves.reported(key)
 	s.parts[key] = storedPart{namespace: event.Namespace, part: event.Part, tokens: event.Tokens}
 	s.namespaces[event.Namespace]++
 	s.usedTokens += roundUp(event.Tokens)
@@ -277,7 +274,7 @@
 			if addresses == nil {
 				addresses = make([]string, len(keys))
 			}
-			s.pending[key] = now
+			s.saves.start(now, key, tokens)
 			addresses[i] = s.spec.Address
 		}
 	}
@@ -291,11 +288,8 @@
 		if _, ok := s.parts[key]; ok {
 			return true
 		}
-		if at, ok := s.pending[key]; ok {
-			if now.Sub(at) < savePendingTimeout {
-				return true
-			}
-			delete(s.pending, key)
+		if s.saves.running(now, key) {
+			return true
 		}
 	}
 	return false
--- a/internal/gateway/stores_test.go
+++ b/internal/gateway/stores_test.go
@@ -54,7 +54,7 @@
 	}})
 	s := &cacheStore{
 		spec:  routing.CacheStore{Address: storeAddress, Tokens: 5000, LinkBytesPerSecond: 2e10, FailureDomain: "north"},
-		parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{}, pending: map[prefix.Key]time.Time{},
+		parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{},
 	}
 	g.stores["s"] = s
 	return g, s, c
@@ -337,3 +337,35 @@
 type noopHelper struct{}
 
 func (noopHelper) Helper() {}
+
+// A store whose events tell of free space, but that reports none of the parts sent to it,
+// is full of parts that broke off. Parts must then go to another store, and to the first
+// one again after some time.
+func TestStoreWithoutReportsGetsFewSaves(t *testing.T) {
+	g, s, c := newStoreGateway(t)
+	other := &cacheStore{spec: s.spec, parts: map[prefix.Key]storedPart{}, namespaces: map[string]int{}}
+	other.spec.Address, other.spec.FirstByteDelay = "10.0.0.7:1", time.Millisecond
+	g.stores["other"] = other
+	answer := func() {
+		g.applyStoreEvents("s", s, newEvents(7, c.now.UnixMilli()), c.now)
+		g.applyStoreEvents("other", other, newEvents(9, c.now.UnixMilli()), c.now)
+	}
+	answer()
+	c.now = c.now.Add(saveDelay)
+	saved := map[string]int{}
+	for i := range 60 {
+		answer()
+		w := storeWork("own")
+		w.Parts[0].Key = string(rune('A' + i))
+		if at := g.place(w); at.save != nil {
+			saved[at.save[0]]++
+			if at.save[0] != storeAddress {
+				other.apply(CacheEvent{Namespace: sharedNamespace, Part: w.Parts[0].Key, Tokens: 20})
+			}
+		}
+		c.now = c.now.Add(time.Second)
+	}
+	if saved[storeAddress] == 0 || saved[storeAddress] > 20 || saved["10.0.0.7:1"] < 40 {
+		t.Errorf("saved %v, want some but few to the store that reports nothing, %s, and most to the other one", saved, storeAddress)
+	}
+}
