Collect the loads of all hosts through a few of them

Cause: with 81 hosts a host met each peer every 1.35 s on average and used loads for 1.5 s, with 295 under a third of the peers were known at any time; exchanges with 64 loads each cost 60 calls a second and host. Change: above 12 hosts about the square root of their number collect loads: a host reports to one of them each 250 ms and gets the sum over all other hosts, collectors exchange their sums. A collector that doesn't answer becomes a suspect at once. Ruled out: one collector for all (a host that all depend on), loads with cache events (a call a group of engines), more frequent exchanges (calls grow with the hosts).

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -168,7 +168,7 @@
 	h.group = &peer.Group{
 		Self:     membership.Member{Name: cfg.Host, URL: url, FailureDomain: cfg.FailureDomain, Incarnation: incarnation},
 		Params:   membership.Params{SuspicionTimeout: cfg.Peers.SuspicionTimeout.Duration, ForgetAfter: cfg.Peers.ForgetAfter.Duration},
-		Interval: cfg.Peers.Interval.Duration, FanOut: cfg.Peers.FanOut, LoadMaxAge: cfg.Peers.LoadMaxAge.Duration,
+		Interval: cfg.Peers.Interval.Duration, FanOut: cfg.Peers.FanOut, CollectLoads: true, LoadMaxAge: cfg.Peers.LoadMaxAge.Duration,
 		HostList: h.hosts, Clock: h.Clock, Log: h.Log, HTTP: &http.Client{Transport: h.Transport},
 		Local: h.gateway, Ledger: h.table, Ready: h.ready,
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -331,6 +331,18 @@
 	return names
 }
 
+// Nearest returns the one of the given members that has the highest rendezvous hash for a
+// name, or an empty string if there are none.
+func (t *Table) Nearest(name string, among []string) string {
+	best, bestHash := "", uint64(0)
+	for _, member := range among {
+		if hash := ownerHash(member, name); best == "" || hash > bestHash {
+			best, bestHash = member, hash
+		}
+	}
+	return best
+}
+
 // Rank returns the number of other alive members that have a higher rendezvous hash for a
 // name than the host itself. Members that are known only from the list of hosts, with
 // incarnation 0, don't count. Hosts with different views may disagree.
--- a/internal/peer/batches.go
+++ b/internal/peer/batches.go
@@ -79,6 +79,9 @@
 // therefore can't write them itself. After a failed write it stops until the next
 // interval.
 func (g *Group) writeBatches(ctx context.Context) {
+	if g.Ledger == nil {
+		return
+	}
 	g.batches.mu.Lock()
 	lost := g.batches.written.Lost(g.Clock.Now(), g.Ledger.Era())
 	g.batches.mu.Unlock()
--- /dev/null
+++ b/internal/peer/collector.go
@@ -0,0 +1,249 @@
+package peer
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+)
+
+// With few hosts, each learns the loads of all others from the reports in exchanges. With
+// many, it would meet each of them too seldom. Some hosts, the collectors, then add up the
+// loads of the hosts that report to them, and exchange the sums among each other, so that
+// every host gets the sum over all hosts with each report. The collectors are chosen by
+// the hashes of their names. Two hosts that disagree on them for a moment count a load
+// twice or not at all until it has expired.
+const (
+	// collectAbove is the number of hosts above which loads are collected.
+	collectAbove = 12
+	// collectInterval is the time between two reports of a host to its collector, and
+	// between two exchanges of sums among collectors.
+	collectInterval = 250 * time.Millisecond
+	// collectedMaxAge is how long loads and sums are used.
+	collectedMaxAge = 4 * collectInterval
+	// maxCollected limits the loads in one message.
+	maxCollected = maxLoads
+	// collectors is the name by whose hashes the collectors are chosen.
+	collectorsName = "collectors"
+)
+
+// collectedLoads are loads and when they were received.
+type collectedLoads struct {
+	loads []placement.TargetLoad
+	at    time.Time
+}
+
+// loadCollector holds the loads that a host has collected, or received from its collector.
+type loadCollector struct {
+	mu sync.Mutex
+	// reported are the loads of the hosts that report to this one, and sums those of
+	// other collectors, by host.
+	reported, sums map[string]collectedLoads
+	// others are the loads of all other hosts, as the collector of this host answered.
+	others collectedLoads
+}
+
+// collectorCount returns the number of collectors of n hosts, which balances the hosts
+// that report to a collector and the collectors among which sums are exchanged.
+func collectorCount(n int) int {
+	if n <= collectAbove {
+		return 0
+	}
+	return int(math.Ceil(math.Sqrt(float64(n))))
+}
+
+// collectors returns the names of the collectors, none with few hosts.
+func (g *Group) collectors() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Owners(collectorsName, collectorCount(g.members.AliveCount()))
+}
+
+// collectorOf returns the collector to which a host reports, in its own failure domain if
+// there is one.
+func (g *Group) collectorOf(collectors []string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var near []string
+	for _, name := range collectors {
+		if m, known := g.members.Get(name); known && m.FailureDomain == g.Self.FailureDomain {
+			near = append(near, name)
+		}
+	}
+	if len(near) == 0 {
+		near = collectors
+	}
+	return g.members.Nearest(g.Self.Name, near)
+}
+
+// collectLoads reports the loads of this host to its collector. If it is a collector
+// itself, it exchanges sums with the others.
+func (g *Group) collectLoads(ctx context.Context) {
+	collectors := g.collectors()
+	if len(collectors) == 0 {
+		return
+	}
+	if slices.Contains(collectors, g.Self.Name) {
+		g.exchangeSums(ctx, collectors)
+		return
+	}
+	own := g.Local.PeerReport().Loads
+	loads, err := g.callCollector(ctx, g.collectorOf(collectors), &wire.CollectLoadsRequest{Host: g.Self.Name, Loads: encodeLoads(own)})
+	if err != nil {
+		return // The loads in use expire.
+	}
+	g.collected.mu.Lock()
+	defer g.collected.mu.Unlock()
+	g.collected.others = collectedLoads{loads, g.Clock.Now()}
+}
+
+// exchangeSums exchanges sums with the collectors whose names are lower. Those with higher
+// names call this host.
+func (g *Group) exchangeSums(ctx context.Context, collectors []string) {
+	sum := encodeLoads(g.reportedSum("", true))
+	var calls sync.WaitGroup
+	for _, name := range collectors {
+		if name >= g.Self.Name {
+			continue
+		}
+		calls.Go(func() {
+			loads, err := g.callCollector(ctx, name, &wire.CollectLoadsRequest{Host: g.Self.Name, Collector: true, Loads: sum})
+			if err == nil {
+				g.collected.keep(g.Clock.Now(), name, true, loads)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+func (g *Group) callCollector(ctx context.Context, name string, request *wire.CollectLoadsRequest) ([]placement.TargetLoad, error) {
+	g.mu.Lock()
+	m, _ := g.members.Get(name)
+	g.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, collectedMaxAge)
+	defer cancel()
+	response, err := wire.NewPeerProtobufClient(m.URL, g.client).CollectLoads(ctx, request)
+	if err != nil {
+		// The next report goes to another collector, unless this one refutes its death.
+		g.mu.Lock()
+		g.members.Failed(g.Clock.Now(), name)
+		g.mu.Unlock()
+		return nil, err
+	}
+	return decodeLoads(response.Loads)
+}
+
+// CollectLoads takes the loads of a host or the sums of a collector.
+func (s *server) CollectLoads(_ context.Context, request *wire.CollectLoadsRequest) (*wire.CollectLoadsResponse, error) {
+	g := s.group
+	if request.Host == "" || len(request.Host) > maxNameBytes || len(request.Loads) > maxCollected {
+		return nil, twirp.InvalidArgumentError("loads", "the name of the host is missing or too long, or there are too many loads")
+	}
+	loads, err := decodeLoads(request.Loads)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("loads", err.Error())
+	}
+	g.collected.keep(g.Clock.Now(), request.Host, request.Collector, loads)
+	if request.Collector {
+		return &wire.CollectLoadsResponse{Loads: encodeLoads(g.reportedSum("", true))}, nil
+	}
+	return &wire.CollectLoadsResponse{Loads: encodeLoads(addLoads(g.reportedSum(request.Host, true), g.otherSums()))}, nil
+}
+
+// keep stores the loads that a host reported or the sums of a collector.
+func (c *loadCollector) keep(now time.Time, host string, collector bool, loads []placement.TargetLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reported == nil {
+		c.reported, c.sums = map[string]collectedLoads{}, map[string]collectedLoads{}
+	}
+	if collector {
+		c.sums[host] = collectedLoads{loads, now}
+		return
+	}
+	c.reported[host] = collectedLoads{loads, now}
+}
+
+// fresh returns the loads in a map that have not expired, and deletes the others.
+func fresh(now time.Time, from map[string]collectedLoads, except string) (list [][]placement.TargetLoad) {
+	for host, c := range from {
+		switch {
+		case now.Sub(c.at) > collectedMaxAge:
+			delete(from, host)
+		case host != except:
+			list = append(list, c.loads)
+		}
+	}
+	return list
+}
+
+// reportedSum returns the sum of the loads of the hosts that report to this one, except
+// one of them, and of this host itself if own is set.
+func (g *Group) reportedSum(except string, own bool) []placement.TargetLoad {
+	var list [][]placement.TargetLoad
+	if own {
+		list = append(list, g.Local.PeerReport().Loads)
+	}
+	g.collected.mu.Lock()
+	list = append(list, fresh(g.Clock.Now(), g.collected.reported, except)...)
+	g.collected.mu.Unlock()
+	return addLoads(list...)
+}
+
+// otherSums returns the sum over the hosts that report to other collectors.
+func (g *Group) otherSums() []placement.TargetLoad {
+	g.collected.mu.Lock()
+	list := fresh(g.Clock.Now(), g.collected.sums, "")
+	g.collected.mu.Unlock()
+	return addLoads(list...)
+}
+
+// collectedLoads returns the loads of all other hosts. It returns false if they are not
+// collected, or if this host has no recent answer of a collector.
+func (g *Group) othersCollected() ([]placement.TargetLoad, bool) {
+	collectors := g.collectors()
+	if len(collectors) == 0 {
+		return nil, false
+	}
+	if slices.Contains(collectors, g.Self.Name) {
+		return addLoads(g.reportedSum("", false), g.otherSums()), true
+	}
+	g.collected.mu.Lock()
+	defer g.collected.mu.Unlock()
+	others := g.collected.others
+	return others.loads, g.Clock.Now().Sub(others.at) <= collectedMaxAge
+}
+
+// addLoads adds up loads by target. The slowness is the highest.
+func addLoads(lists ...[]placement.TargetLoad) []placement.TargetLoad {
+	numbers := map[string]int{}
+	var sums []placement.TargetLoad
+	for _, list := range lists {
+		for _, l := range list {
+			number, known := numbers[l.Target]
+			if !known {
+				numbers[l.Target] = len(sums)
+				sums = append(sums, l)
+				continue
+			}
+			sum := &sums[number]
+			sum.Requests += l.Requests
+			sum.PrefillTokens += l.PrefillTokens
+			sum.HeldTokens += l.HeldTokens
+			sum.Slowness = max(sum.Slowness, l.Slowness)
+		}
+	}
+	return sums
+}
+
+// runCollection collects loads until ctx ends.
+func (g *Group) runCollection(ctx context.Context) {
+	clock.Every(ctx, g.Clock, collectInterval, g.collectLoads)
+}
--- /dev/null
+++ b/internal/peer/collector_test.go
@@ -0,0 +1,178 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/membership"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/platform"
+)
+
+// directTransport passes requests to the handlers of groups in the same process.
+type directTransport struct {
+	mu       sync.Mutex
+	handlers map[string]http.Handler
+	down     map[string]bool
+	calls    map[string]int
+	// stop ends the tasks of a host.
+	stop map[string]context.CancelFunc
+}
+
+// kill ends hosts. The caller must hold t.mu.
+func (t *directTransport) kill(names []string) {
+	for _, name := range names {
+		t.down[name] = true
+		t.stop[name]()
+	}
+}
+
+func (t *directTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.mu.Lock()
+	handler, down := t.handlers[r.URL.Host], t.down[r.URL.Host]
+	t.calls[r.URL.Host]++
+	t.mu.Unlock()
+	if down || handler == nil {
+		return nil, errors.New("host is down")
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	served := r.Clone(r.Context())
+	served.Body = io.NopCloser(bytes.NewReader(body))
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, served)
+	return recorder.Result(), nil
+}
+
+// loadedHost is the local side of a group with a fixed load.
+type loadedHost struct {
+	environment
+
+	loads []placement.TargetLoad
+}
+
+func (h *loadedHost) PeerReport() Report { return Report{Loads: h.loads} }
+
+// runGroups runs n groups in one process until scenario returns. Each host has one
+// request on a target that all share, and 100 prompt tokens on one of its own.
+func runGroups(t *testing.T, n int, scenario func(network *directTransport, groups []*Group)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := &directTransport{handlers: map[string]http.Handler{}, down: map[string]bool{}, calls: map[string]int{}, stop: map[string]context.CancelFunc{}}
+		var hosts []platform.Host
+		for i := range n {
+			name := fmt.Sprintf("host-%03d", i)
+			hosts = append(hosts, platform.Host{Name: name, URL: "http://" + name, FailureDomain: fmt.Sprint(i % 3), Kind: "entry"})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		var groups []*Group
+		for i, host := range hosts {
+			local := &loadedHost{loads: []placement.TargetLoad{
+				{Target: "shared", Requests: 1, Slowness: 1}, {Target: fmt.Sprintf("own-%d", i), PrefillTokens: 100, Slowness: 1},
+			}}
+			local.hosts = hosts
+			g := &Group{
+				Self:   membership.Member{Name: host.Name, URL: host.URL, FailureDomain: host.FailureDomain, Incarnation: 1},
+				Params: membership.Params{SuspicionTimeout: 5 * time.Second, ForgetAfter: time.Minute}, Interval: 100 * time.Millisecond, FanOut: 3,
+				HostList: local, Clock: clock.System{}, Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+				HTTP: &http.Client{Transport: network}, Local: local, CollectLoads: true, LoadMaxAge: 1500 * time.Millisecond,
+				Ready: func() bool { return true },
+			}
+			g.Init()
+			network.handlers[host.Name] = g.Handler()
+			groups = append(groups, g)
+		}
+		for _, g := range groups {
+			ctx, stop := context.WithCancel(ctx)
+			network.stop[g.Self.Name] = stop
+			running.Go(func() { _ = g.Run(ctx) })
+		}
+		scenario(network, groups)
+		cancel()
+		running.Wait()
+	})
+}
+
+// misjudged returns the hosts that see another number of requests on the shared target,
+// or of targets, than all other live hosts have placed.
+func misjudged(network *directTransport, groups []*Group, live int) (names []string) {
+	for _, g := range groups {
+		if network.down[g.Self.Name] {
+			continue
+		}
+		loads := g.Loads()
+		if loads["shared"].Requests != live-1 || len(loads) != live {
+			names = append(names, fmt.Sprintf("%s: %d requests on %d targets", g.Self.Name, loads["shared"].Requests, len(loads)))
+		}
+	}
+	return names
+}
+
+// Every host must know the loads of all others, at any number of hosts and again soon
+// after half of the collectors are killed. The mean number of calls must not grow with the
+// hosts, and that of a collector with their square root only.
+func TestEveryHostKnowsAllLoads(t *testing.T) {
+	for _, n := range []int{13, 40, 120} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			runGroups(t, n, func(network *directTransport, groups []*Group) {
+				time.Sleep(10 * time.Second)
+				if diff := cmp.Diff([]string(nil), misjudged(network, groups, n)); diff != "" {
+					t.Errorf("hosts that misjudge the loads (-want +got):\n%s", diff)
+				}
+				network.mu.Lock()
+				clear(network.calls)
+				network.mu.Unlock()
+				time.Sleep(10 * time.Second)
+				network.mu.Lock()
+				total, highest := 0, 0
+				for _, calls := range network.calls {
+					total += calls
+					highest = max(highest, calls)
+				}
+				network.mu.Unlock()
+				bound := 20 + 10*math.Sqrt(float64(n))
+				if mean, most := float64(total)/float64(n)/10, float64(highest)/10; mean > 18 || most > bound {
+					t.Errorf("%.1f calls a second and host, the most at one host %.1f, want at most 18 and %.1f", mean, most, bound)
+				}
+				collectors := groups[0].collectors()
+				lost := collectors[:(len(collectors)+1)/2]
+				network.mu.Lock()
+				network.kill(lost)
+				network.mu.Unlock()
+				time.Sleep(6 * time.Second)
+				network.mu.Lock()
+				defer network.mu.Unlock()
+				if diff := cmp.Diff([]string(nil), misjudged(network, groups, n-len(lost))); diff != "" {
+					t.Errorf("hosts that misjudge the loads 6 s after %d collectors were lost (-want +got):\n%s", len(lost), diff)
+				}
+			})
+		})
+	}
+}
+
+// A malformed report of loads must be refused and change nothing.
+func TestMalformedLoadsAreRefused(t *testing.T) {
+	if _, err := decodeLoads(encodeLoads([]placement.TargetLoad{{Target: "a", Requests: -1}})); err == nil {
+		t.Error("a negative number of requests was accepted")
+	}
+	if _, err := decodeLoads(encodeLoads(make([]placement.TargetLoad, maxLoads+1))); err == nil {
+		t.Error("more loads than allowed were accepted")
+	}
+}
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -110,7 +110,10 @@
 	// Contact tells when this host itself last reached the table service. If it is nil,
 	// Records does.
 	Contact ContactProvider
-	Ledger  LedgerTable
+	// Ledger may be nil on hosts that hold no ledger batches.
+	Ledger LedgerTable
+	// CollectLoads makes a group of many hosts collect their loads, see collectAbove.
+	CollectLoads bool
 	// LoadMaxAge is how long the loads in a peer's report are used. The default is
 	// reportMaxAge.
 	LoadMaxAge time.Duration
@@ -132,6 +135,7 @@
 	contactAt       time.Time
 	highestRevision int64
 	batches         batchMirror
+	collected       loadCollector
 }
 
 // receivedReport is the last report of a peer and when it arrived.
@@ -162,6 +166,9 @@
 		clock.Every(ctx, g.Clock, hostListInterval, g.readHostList)
 	})
 	tasks.Go(func() { clock.Every(ctx, g.Clock, g.Interval, g.round) })
+	if g.CollectLoads {
+		tasks.Go(func() { g.runCollection(ctx) })
+	}
 	tasks.Go(func() { clock.Every(ctx, g.Clock, batchInterval, g.writeBatches) })
 	tasks.Wait()
 	return nil
@@ -179,7 +186,11 @@
 func (g *Group) round(ctx context.Context) {
 	g.mu.Lock()
 	g.members.Tick(g.Clock.Now())
-	partners := g.members.Partners(g.rng, g.FanOut)
+	fanOut := g.FanOut
+	if g.CollectLoads && g.members.AliveCount() > collectAbove {
+		fanOut = 1 // Exchanges then need not spread the loads.
+	}
+	partners := g.members.Partners(g.rng, fanOut)
 	g.mu.Unlock()
 	var calls sync.WaitGroup
 	for _, partner := range partners {
@@ -238,6 +249,7 @@
 func (g *Group) exchange(ctx context.Context, name, url string) {
 	report := g.ownReport()
 	g.mu.Lock()
+	g.omitLoads(&report)
 	request := &wire.ExchangeRequest{
 		From:    encodeMember(g.members.Self()),
 		Report:  report.encode(),
@@ -258,6 +270,14 @@
 	}
 }
 
+// omitLoads removes the loads from a report for an exchange if they are collected. The
+// caller must hold g.mu.
+func (g *Group) omitLoads(report *Report) {
+	if g.CollectLoads && g.members.AliveCount() > collectAbove {
+		report.Loads = nil
+	}
+}
+
 // ownReport returns the report of this host, including the highest revision and the
 // latest contact with the table service that peers have reported to it.
 func (g *Group) ownReport() Report {
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -106,11 +106,7 @@
 			Account: d.Account, TokensPerSecond: float32(d.TokensPerSecond), InFlight: int32(d.InFlight),
 		})
 	}
-	for _, l := range r.Loads {
-		encoded.Loads = append(encoded.Loads, &wire.TargetLoad{
-			Target: l.Target, Requests: int32(l.Requests), PrefillTokens: float32(l.PrefillTokens), Slowness: float32(l.Slowness), HeldTokens: float32(l.HeldTokens),
-		})
-	}
+	encoded.Loads = encodeLoads(r.Loads)
 	for _, s := range r.Suspects {
 		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: s.Fingerprint, Crashes: int32(s.Crashes), AgeMillis: s.Age.Milliseconds()})
 	}
@@ -151,7 +147,11 @@
 		}
 		r.Leaving = append(r.Leaving, LeavingTarget{Target: t.Target, Started: t.Started})
 	}
-	return r, errors.Join(r.decodeDemands(w.Demands), r.decodeLoads(w.Loads), r.decodeSuspects(w.Suspects))
+	loads, err := decodeLoads(w.Loads)
+	if len(loads) > 0 {
+		r.Loads = loads
+	}
+	return r, errors.Join(r.decodeDemands(w.Demands), err, r.decodeSuspects(w.Suspects))
 }
 
 func (r *Report) decodeDemands(demands []*wire.AccountDemand) error {
@@ -166,16 +166,31 @@
 	return nil
 }
 
-func (r *Report) decodeLoads(loads []*wire.TargetLoad) error {
+func encodeLoads(loads []placement.TargetLoad) []*wire.TargetLoad {
+	encoded := make([]*wire.TargetLoad, 0, len(loads))
 	for _, l := range loads {
+		encoded = append(encoded, &wire.TargetLoad{
+			Target: l.Target, Requests: int32(l.Requests), PrefillTokens: float32(l.PrefillTokens), Slowness: float32(l.Slowness), HeldTokens: float32(l.HeldTokens),
+		})
+	}
+	return encoded
+}
+
+// decodeLoads validates and converts loads.
+func decodeLoads(encoded []*wire.TargetLoad) ([]placement.TargetLoad, error) {
+	if len(encoded) > maxLoads {
+		return nil, fmt.Errorf("loads: want at most %d, got %d", maxLoads, len(encoded))
+	}
+	loads := make([]placement.TargetLoad, 0, len(encoded))
+	for _, l := range encoded {
 		if len(l.Target) > maxNameBytes || l.Requests < 0 || l.PrefillTokens < 0 || l.HeldTokens < 0 {
-			return fmt.Errorf("peer report: load of target %.40q is out of range or the name is too long", l.Target)
+			return nil, fmt.Errorf("load of target %.40q is out of range or the name is too long", l.Target)
 		}
-		r.Loads = append(r.Loads, placement.TargetLoad{
+		loads = append(loads, placement.TargetLoad{
 			Target: l.Target, Requests: int(l.Requests), PrefillTokens: float64(l.PrefillTokens), Slowness: float64(l.Slowness), HeldTokens: float64(l.HeldTokens),
 		})
 	}
-	return nil
+	return loads, nil
 }
 
 func (r *Report) decodeSuspects(suspects []*wire.Suspect) error {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,6 +38,7 @@
 	report := g.ownReport()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.omitLoads(&report)
 	return &wire.ExchangeResponse{
 		From:    encodeMember(g.members.Self()),
 		Report:  report.encode(),
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -90,9 +90,17 @@
 // Loads returns the load that live peers have placed on each target, added up over
 // the peers. The slowness is the highest that a peer reported.
 func (g *Group) Loads() map[string]placement.TargetLoad {
+	loads := map[string]placement.TargetLoad{}
+	if g.CollectLoads {
+		if others, ok := g.othersCollected(); ok {
+			for _, l := range others {
+				loads[l.Target] = l
+			}
+			return loads
+		}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	loads := map[string]placement.TargetLoad{}
 	g.eachReport(g.LoadMaxAge, func(report *Report) {
 		for _, l := range report.Loads {
 			sum := loads[l.Target]
