--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -96,6 +96,7 @@
 		{"/placement/loadPoll", c.Placement.LoadPoll},
 		{"/placement/cacheEventPoll", c.Placement.CacheEventPoll},
 		{"/ledger/flushEvery", c.Ledger.FlushEvery},
+		{"/placement/ownerTimeout", c.Placement.OwnerTimeout},
 		{"/stopWithin", c.ShutdownTimeout},
 	}
 	for _, d := range durations {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/jsonc"
@@ -128,6 +129,9 @@
 
 // Placement configures the choice of a target.
 type Placement struct {
+	// OwnerTimeout is how long a host waits for a decision that the owner of a pool makes
+	// at once, before it decides by itself. Admission may take longer.
+	OwnerTimeout Duration `json:"ownerTimeout"`
 	// LoadPoll and CacheEventPoll are the intervals between reads of the load and of
 	// the cache events of each target.
 	LoadPoll       Duration `json:"loadPoll"`
@@ -260,6 +264,7 @@
 			LoadPoll:        DurationOf(500 * time.Millisecond),
 			CacheEventPoll:  DurationOf(500 * time.Millisecond),
 			BlockTokens:     2048,
+			OwnerTimeout:    DurationOf(300 * time.Millisecond),
 			PreferredCount:  8,
 			RandomCount:     8,
 			IndexEntries:    250_000,
@@ -317,7 +322,7 @@
 }
 
 // decodeInto applies the settings in data to cfg and validates them.
-func decodeInto(source string, data []byte, cfg any, check func(locator) finding.List) error {
+func decodeInto(source string, data []byte, cfg any, check func(locator) finding.List, unused ...string) error {
 	doc, err := jsonc.Parse(source, data)
 	if err != nil {
 		return err
@@ -325,5 +330,12 @@
 	if findings := doc.Decode(cfg); len(findings) > 0 {
 		return findings.Err()
 	}
-	return check(doc.Place).Err()
+	findings := check(doc.Place)
+	for _, pointer := range unused {
+		if doc.Has(pointer) {
+			findings = append(findings, finding.Finding{Place: doc.Place(pointer), Message: strings.ReplaceAll(pointer[1:], "/", ".") + ": this kind of host does not use this setting"})
+		}
+	}
+	findings.Sort()
+	return findings.Err()
 }
--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -22,8 +22,8 @@
 
 	Peers RoutedPeers `json:"peers"`
 	Table Table       `json:"table"`
-	// LoadPoll, CacheEventPoll and WarmUp of Placement, HedgePercent and HedgeRatio of
-	// Slowness, and BufferRows of Ledger are accepted but not used.
+	// Settings of these groups that routed hosts do not use, see unusedByRouted, are
+	// refused.
 	Placement Placement     `json:"placement"`
 	Slowness  Slowness      `json:"slowness"`
 	Retries   RoutedRetries `json:"retries"`
@@ -251,10 +251,16 @@
 // DecodeRouted applies the settings in data to the defaults and validates them.
 func DecodeRouted(source string, data []byte) (Routed, error) {
 	cfg := DefaultRouted()
-	err := decodeInto(source, data, &cfg, cfg.check)
+	err := decodeInto(source, data, &cfg, cfg.check, unusedByRouted...)
 	return cfg, err
 }
 
+// unusedByRouted are the settings of the shared groups that routed hosts do not use.
+var unusedByRouted = []string{
+	"/placement/ownerTimeout", "/placement/loadPoll", "/placement/cacheEventPoll", "/placement/warmUp", "/placement/leaveWithin",
+	"/slowness/hedgePercent", "/slowness/hedgeRatio",
+}
+
 func (c *Routed) check(locate locator) finding.List {
 	k := &checker{locate: locate}
 	k.require(c.Host != "", "/host", "host: a name is required")
--- a/internal/config/routed_test.go
+++ b/internal/config/routed_test.go
@@ -58,7 +58,7 @@
 		"{{node_name|json}}", `"edge-1"`, "{{zone|json}}", `"north"`, "{{listen.front|json}}", `"127.0.0.1:1"`,
 		"{{listen.ready|json}}", `"127.0.0.1:2"`, "{{ip}}", "127.0.0.1", "{{port_range.0}}", "3", "{{port_range.1}}", "4",
 		"{{limits.ram_mb}}", "284", "{{bounds.budget_extra}}", "56", "{{platform.addr}}", "127.0.0.1:5", "{{bounds.lease_ms}}", "3000", "{{bounds.version_ms}}", "15000",
-		"{{bounds.drain_ms}}", "2500", "{{bounds.grace_s}}", "4",
+		"{{bounds.drain_ms}}", "2500", "{{bounds.grace_s}}", "4", "{{bounds.config_ms}}", "2000",
 	).Replace(string(data))
 	if strings.Contains(filled, "{{") {
 		t.Fatalf("the test does not fill in all placeholders of the template:\n%s", filled)
@@ -67,8 +67,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got := []time.Duration{cfg.Table.LeaveTimeout.Duration, cfg.KillAfter.Duration, cfg.Rollout.QuietPeriod.Duration, cfg.Rollout.TimeLimit.Duration}
-	if diff := cmp.Diff([]time.Duration{2500 * time.Millisecond, 4 * time.Second, 3 * time.Second, 15 * time.Second}, got); diff != "" {
+	got := []time.Duration{cfg.Table.LeaveTimeout.Duration, cfg.KillAfter.Duration, cfg.Rollout.QuietPeriod.Duration, cfg.Rollout.TimeLimit.Duration, cfg.Table.ContactMaxAge()}
+	if diff := cmp.Diff([]time.Duration{2500 * time.Millisecond, 4 * time.Second, 3 * time.Second, 15 * time.Second, time.Second}, got); diff != "" {
 		t.Errorf("bounds of the deployment (-want +got):\n%s", diff)
 	}
 }
@@ -88,3 +88,22 @@
 		}
 	}
 }
+
+// A setting that routed hosts do not use must be refused with its place.
+func TestUnusedSettingsAreRefused(t *testing.T) {
+	_, err := config.DecodeRouted("d.json", []byte(`{
+  "host": "a", "failureDomain": "b", "table": {"url": "http://127.0.0.1:1"},
+  "placement": {"warmUp": "1s", "longTokens": 3},
+  "slowness": {"hedgeRatio": 2}
+}`))
+	want := []string{
+		`d.json:3:27: placement.warmUp: this kind of host does not use this setting`,
+		`d.json:4:30: slowness.hedgeRatio: this kind of host does not use this setting`,
+	}
+	if err == nil {
+		t.Fatal("got no error")
+	}
+	if diff := cmp.Diff(want, strings.Split(err.Error(), "\n")); diff != "" {
+		t.Errorf("findings (-want +got):\n%s", diff)
+	}
+}
--- a/internal/dispatch/poolclient.go
+++ b/internal/dispatch/poolclient.go
@@ -17,10 +17,10 @@
 	// decideTimeout limits one request for admission by the owner of a pool,
 	// which holds it for at most maxDecideWait.
 	decideTimeout = maxDecideWait + 500*time.Millisecond
-	// placeTimeout limits a request that the owner answers immediately.
-	placeTimeout = 300 * time.Millisecond
 	// observeInterval is the time between two messages to an owner about tokens.
 	observeInterval = 50 * time.Millisecond
+	// observeTimeout limits one message to an owner.
+	observeTimeout = 300 * time.Millisecond
 	// observeDelay is how long the report of a first token or of the end of an
 	// attempt or job is delayed, so that others are sent with it.
 	observeDelay = time.Millisecond
@@ -189,7 +189,7 @@
 	req.Job = r.pool.id
 	req.LateTicket = lateTicket
 	req.DiedOn = r.diedOn
-	answer, err := r.askOwner(ctx, r.pool.url, req, placeTimeout)
+	answer, err := r.askOwner(ctx, r.pool.url, req, r.d.Config.Placement.OwnerTimeout.Duration)
 	if err != nil {
 		return nil
 	}
@@ -381,7 +381,7 @@
 	var calls sync.WaitGroup
 	for url, message := range d.observer.takeMessages(d.Clock.Now(), d.Host) {
 		calls.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, placeTimeout)
+			callCtx, cancel := context.WithTimeout(ctx, observeTimeout)
 			defer cancel()
 			if d.Peers.Observe(callCtx, url, message) != nil {
 				d.count("pool.untold")
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -162,7 +162,12 @@
 func (s *fakeSink) Abort() { s.aborted = true }
 
 // fakeLedger records the rows that are added to it.
-type fakeLedger struct{ rows []ledger.Row }
+type fakeLedger struct {
+	rows []ledger.Row
+	full bool
+}
+
+func (r *fakeLedger) Full() bool { return r.full }
 
 func (r *fakeLedger) Add(row ledger.Row) { r.rows = append(r.rows, row) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,9 @@
 // LedgerWriter records finished requests.
 type LedgerWriter interface {
 	Add(row ledger.Row)
+	// Full reports whether no more requests should be accepted, because their placements
+	// could be lost.
+	Full() bool
 }
 
 // Gateway serves requests. The exported fields must be set before Init is
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -48,6 +48,11 @@
 	exhausted := g.suspects.Exhausted(g.Clock.Now(), w.Fingerprint)
 	g.budget(w.Service).Earn()
 	g.mu.Unlock()
+	if g.Ledger.Full() {
+		g.count("requests.refusedLedger")
+		r.refuse(failure.Busy(failure.LedgerFull, r.retryAfter(), "this host can't record further placements in the ledger now"))
+		return
+	}
 	if exhausted {
 		g.count("requests.refusedSuspect")
 		r.refuse(failure.Busy(failure.CrashesTargets, g.Config.Retries.SuspectTTL.Duration,
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -422,3 +422,12 @@
 		}
 	})
 }
+
+// A host that can't record further placements must refuse requests at once.
+func TestFullLedgerRefusesRequests(t *testing.T) {
+	f := newFixture(t, answer(http.StatusOK, "yes"))
+	f.ledger.full = true
+	if s := f.serve(request(routing.NonIdempotent, 1)); s.refused == nil || !s.refused.NotRun || len(f.targets.calls) != 0 {
+		t.Errorf("got %+v after %d calls, want a refusal that says not run, and no call", s.refused, len(f.targets.calls))
+	}
+}
