Log the roles that a host takes, and suspect no host of an earlier build

Cause: a host that reads the tables or collects loads for others told nobody, so the age of what others know couldn't be traced. A host of the build before, which knows no collectors, would have been suspected by each new host. Change: a line with the inputs when a role is taken or given up; an unknown call is no sign of death. Result: TestCollectorOfEarlierBuildIsNoSuspect (fails without the check).

--- a/internal/peer/collector.go
+++ b/internal/peer/collector.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/twitchtv/twirp"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
@@ -30,7 +32,7 @@
 	collectedMaxAge = 4 * collectInterval
 	// maxCollected limits the loads in one message.
 	maxCollected = maxLoads
-	// collectors is the name by whose hashes the collectors are chosen.
+	// collectorsName is the name by whose hashes the collectors are chosen.
 	collectorsName = "collectors"
 )
 
@@ -87,10 +89,12 @@
 // itself, it exchanges sums with the others.
 func (g *Group) collectLoads(ctx context.Context) {
 	collectors := g.collectors()
+	collects := slices.Contains(collectors, g.Self.Name)
+	g.roles.set("loadCollector", collects, g.Log, func(entry *log.Entry) { entry.Strs("collectors", collectors) })
 	if len(collectors) == 0 {
 		return
 	}
-	if slices.Contains(collectors, g.Self.Name) {
+	if collects {
 		g.exchangeSums(ctx, collectors)
 		return
 	}
@@ -131,15 +135,24 @@
 	defer cancel()
 	response, err := wire.NewPeerProtobufClient(m.URL, g.client).CollectLoads(ctx, request)
 	if err != nil {
-		// The next report goes to another collector, unless this one refutes its death.
-		g.mu.Lock()
-		g.members.Failed(g.Clock.Now(), name)
-		g.mu.Unlock()
+		g.collectorFailed(name, err)
 		return nil, err
 	}
 	return decodeLoads(response.Loads)
 }
 
+// collectorFailed makes a collector that gave no answer a suspect, so that the next report
+// goes to another one. A host of an earlier build answers that it doesn't collect.
+func (g *Group) collectorFailed(name string, err error) {
+	var answered twirp.Error
+	if errors.As(err, &answered) && answered.Code() == twirp.BadRoute {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.members.Failed(g.Clock.Now(), name)
+}
+
 // CollectLoads takes the loads of a host or the sums of a collector.
 func (s *server) CollectLoads(_ context.Context, request *wire.CollectLoadsRequest) (*wire.CollectLoadsResponse, error) {
 	g := s.group
@@ -205,7 +218,7 @@
 	return addLoads(list...)
 }
 
-// collectedLoads returns the loads of all other hosts. It returns false if they are not
+// othersCollected returns the loads of all other hosts. It returns false if they are not
 // collected, or if this host has no recent answer of a collector.
 func (g *Group) othersCollected() ([]placement.TargetLoad, bool) {
 	collectors := g.collectors()
--- a/internal/peer/collector_test.go
+++ b/internal/peer/collector_test.go
@@ -9,6 +9,7 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -176,3 +177,25 @@
 		t.Error("more loads than allowed were accepted")
 	}
 }
+
+// Hosts of an earlier build know no collectors. They must not be suspected for that.
+func TestCollectorOfEarlierBuildIsNoSuspect(t *testing.T) {
+	runGroups(t, 20, func(network *directTransport, groups []*Group) {
+		network.mu.Lock()
+		for name, handler := range network.handlers {
+			network.handlers[name] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "/CollectLoads") {
+					r.URL.Path = "/twirp/unknown"
+				}
+				handler.ServeHTTP(w, r)
+			})
+		}
+		network.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		for _, g := range groups {
+			if n := g.HostCount(); n != len(groups) {
+				t.Errorf("%s counts %d live hosts, want %d", g.Self.Name, n, len(groups))
+			}
+		}
+	})
+}
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -136,6 +136,7 @@
 	highestRevision int64
 	batches         batchMirror
 	collected       loadCollector
+	roles           roles
 }
 
 // receivedReport is the last report of a peer and when it arrived.
