Mend three faults found by reading: expired jobs, load limit, a store that is down

Cause: expired jobs kept their share of the queue, so later jobs of their account waited behind others; how many targets load weights at once followed the order of a map; one store host that is down could fill the list of holders of a prefix. Change: expired jobs give their tag back like removed ones; the limit is the highest over the models; the list is as long as the prefixes on all store hosts. Result: TestExpiredJobsDoNotCount (job 6 instead of 2 before) and TestLoadLimitDoesNotDependOnOrder (2 and 7 closed before) fail on the code before.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -75,7 +75,7 @@
 	weight float64
 	limits Limits
 	// lastFinishTag is the finish tag of the last enqueued job, corrected for the
-	// actual work of ended jobs and for jobs that Remove has removed.
+	// actual work of ended jobs and for jobs that were removed before they ran.
 	lastFinishTag float64
 	waiting       []*Job
 	running       int
@@ -305,6 +305,7 @@
 			}
 			a.remove(i)
 			q.waiting--
+			a.lastFinishTag = max(q.virtualTime, a.lastFinishTag-job.Work/a.weight)
 			expired = append(expired, job)
 		}
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -191,3 +191,37 @@
 		})
 	}
 }
+
+// Jobs that expire in the queue have taken no capacity. Later jobs of their account must
+// not wait behind those of others for them.
+func TestExpiredJobsDoNotCount(t *testing.T) {
+	q := admission.NewQueue(admission.Params{QueuePerAccount: 100, LongPercent: 100})
+	q.SetCapacity(1)
+	enqueue := func(account string, deadline time.Time) *admission.Job {
+		job := &admission.Job{Account: account, Work: 100, Deadline: deadline}
+		if refusal := q.Enqueue(start, job); refusal != nil {
+			t.Fatal(refusal)
+		}
+		return job
+	}
+	for range 20 {
+		enqueue("a", start.Add(time.Second))
+	}
+	if expired := q.RemoveExpired(start.Add(2 * time.Second)); len(expired) != 20 {
+		t.Fatalf("%d jobs expired, want 20", len(expired))
+	}
+	for range 5 {
+		enqueue("b", start.Add(time.Hour))
+	}
+	wanted := enqueue("a", start.Add(time.Hour))
+	for n := 1; ; n++ {
+		job := q.Next(start.Add(3 * time.Second))
+		if job == wanted {
+			if n > 2 {
+				t.Errorf("the job of the account with expired jobs was number %d, want its share: at most 2", n)
+			}
+			return
+		}
+		q.Done(job, job.Work)
+	}
+}
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -165,7 +165,8 @@
 // storedPrefix returns the longest prefix of the prompt found on a reachable store
 // host, in blocks, and the link to that host, or 0 and nil if none is found.
 func (b *Placer) storedPrefix(req *Request) (int, *link) {
-	b.holders = b.stored.Holders(b.holders[:0], req.Chain, len(b.links))
+	// Each store host may be listed once for each prefix, also one that is down.
+	b.holders = b.stored.Holders(b.holders[:0], req.Chain, len(b.links)*len(req.Chain))
 	for _, holder := range b.holders {
 		if l := b.links[holder.Target]; !l.down {
 			return holder.Blocks, l
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -91,8 +91,8 @@
 	RepeatAfter time.Duration
 
 	swaps map[string]*swap
-	// loadLimit is the higher of ConcurrentLoads and the number of targets that may swap
-	// at the same time. That number is the one of the model that Update handled last.
+	// loadLimit is the highest of ConcurrentLoads and the numbers of targets of each model
+	// that may swap at the same time.
 	loadLimit int
 	// swapTime is the moving average of the time from the choice of a target to
 	// the end of its swap.
@@ -153,6 +153,7 @@
 	if p.swaps == nil {
 		p.swaps = map[string]*swap{}
 	}
+	p.loadLimit = p.ConcurrentLoads
 	changed := p.dropFinished(now, targets, requested)
 	for _, r := range requested {
 		if p.chooseTargets(now, targets, r) {
@@ -189,7 +190,7 @@
 // It reports whether it closed any.
 func (p *Plan) closeDrained(now time.Time) bool {
 	var drained []string
-	room := max(p.loadLimit, p.ConcurrentLoads)
+	room := p.loadLimit
 	for id, s := range p.swaps {
 		switch {
 		case !s.closedAt.IsZero():
@@ -276,7 +277,7 @@
 		waiting = append(waiting, t)
 	}
 	atOnce := p.atOnce(now, total, outdatedSince)
-	p.loadLimit = max(p.ConcurrentLoads, atOnce)
+	p.loadLimit = max(p.loadLimit, atOnce)
 	room := atOnce - swapping
 	if room <= 0 || len(waiting) == 0 {
 		return false
--- a/internal/rollout/plan_test.go
+++ b/internal/rollout/plan_test.go
@@ -183,3 +183,27 @@
 		t.Errorf("draining (-want +got):\n%s", diff)
 	}
 }
+
+// The number of targets that load weights at the same time must not depend on the order
+// in which models are listed.
+func TestLoadLimitDoesNotDependOnOrder(t *testing.T) {
+	closedWith := func(reversed bool) int {
+		p := newPlan()
+		list := targets(40)
+		for i := range 4 {
+			list = append(list, fleet.Target{ID: fmt.Sprintf("u%02d", i), Versions: map[string]int64{"n": 1}})
+		}
+		requested := []rollout.RequestedVersion{{Model: "m", Version: 2, Since: start}, {Model: "n", Version: 2, Since: start}}
+		if reversed {
+			slices.Reverse(requested)
+		}
+		for now := start; now.Before(start.Add(time.Second)); now = now.Add(100 * time.Millisecond) {
+			p.Update(now, list, requested)
+		}
+		closed, _ := p.Swapping()
+		return len(closed)
+	}
+	if forward, backward := closedWith(false), closedWith(true); forward != backward || forward < 7 {
+		t.Errorf("%d and %d targets are closed, want the same number and at least 7, the share of the larger model", forward, backward)
+	}
+}
