Read the table service until it answers again after an outage

A host that need not read the tables stopped calling the service as soon as a peer had reached it again, so it never learned that the service was available: rows missing since the outage were kept for good, and later removals waited for ever. Change: a follower for which the service is unavailable calls it until it answers. Result: TestFollowerReadsServiceOnlyIfItHasTo fails without the change (OnAvailable never called).

--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -120,12 +120,14 @@
 }
 
 // readsService reports whether the next call goes to the service. The first one always
-// does, so that a host that starts depends on no peer.
+// does, so that a host that starts depends on no peer. A host for which the service has
+// become unavailable reads it until it answers again, since OnAvailable starts the time
+// in which missing rows may come back.
 func (f *Follower) readsService() bool {
 	f.mu.Lock()
-	loaded := f.loaded
+	necessary := !f.loaded || f.unavailable
 	f.mu.Unlock()
-	return !loaded || f.Relay == nil || f.ReadsService == nil || f.ReadsService()
+	return necessary || f.Relay == nil || f.ReadsService == nil || f.ReadsService()
 }
 
 func (f *Follower) step(ctx context.Context) error {
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -341,8 +341,10 @@
 		feed, known := &fakeFeed{rows: map[string]platform.Row{}}, &tableCopy{}
 		feed.put("a", "1")
 		var reads atomic.Bool
+		var available atomic.Int64
 		f := &platform.Follower{
 			Client: feed, Relay: feed, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply, ReadsService: reads.Load,
+			OnAvailable: func() { available.Add(1) },
 			Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		}
 		ctx, end := context.WithCancel(context.Background())
@@ -359,6 +361,15 @@
 		if feed.feeds == 0 {
 			t.Error("the feed was not read by a host that has to")
 		}
+		feed.set(func() { feed.unavailable = true })
+		time.Sleep(2 * time.Second)
+		reads.Store(false)
+		time.Sleep(2 * time.Second)
+		feed.set(func() { feed.unavailable = false })
+		time.Sleep(2 * time.Second)
+		if available.Load() != 1 {
+			t.Errorf("OnAvailable was called %d times after an outage, want once, also on a host that need not read the service by then", available.Load())
+		}
 		end()
 		if err := <-done; err != nil {
 			t.Error(err)
