--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -345,7 +345,7 @@
 		f := &platform.Follower{
 			Client: feed, Relay: feed, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply, ReadsService: reads.Load,
 			OnAvailable: func() { available.Add(1) },
-			Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+			Log:         &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		}
 		ctx, end := context.WithCancel(context.Background())
 		done := make(chan error, 1)
