Count old reports of peers by the share of requests that still run

Change: of reported requests the share exp(-age / usual time of a request) is expected to run still, the rest counts evenly on all targets; prompt tokens to compute likewise by the usual time to the first token. The usual times follow short samples quickly and long ones slowly, or a herd would make them long and keep itself alive.

--- a/internal/peer/collector.go
+++ b/internal/peer/collector.go
@@ -218,20 +218,22 @@
 	return addLoads(list...)
 }
 
-// othersCollected returns the loads of all other hosts. It returns false if they are not
-// collected, or if this host has no recent answer of a collector.
-func (g *Group) othersCollected() ([]placement.TargetLoad, bool) {
+// othersCollected returns the loads of all other hosts and their age. It returns false if
+// they are not collected, or if this host has no recent answer of a collector.
+func (g *Group) othersCollected() (loads []placement.TargetLoad, age time.Duration, ok bool) {
 	collectors := g.collectors()
 	if len(collectors) == 0 {
-		return nil, false
+		return nil, 0, false
 	}
 	if slices.Contains(collectors, g.Self.Name) {
-		return addLoads(g.reportedSum("", false), g.otherSums()), true
+		return addLoads(g.reportedSum("", false), g.otherSums()), collectInterval, true
 	}
 	g.collected.mu.Lock()
 	defer g.collected.mu.Unlock()
-	others := g.collected.others
-	return others.loads, g.Clock.Now().Sub(others.at) <= collectedMaxAge
+	answered := g.Clock.Now().Sub(g.collected.others.at)
+	// On average, loads are half an interval old at the collector of their host and its
+	// sum another half at the collector of this one.
+	return g.collected.others.loads, collectInterval + answered, answered <= collectedMaxAge
 }
 
 // addLoads adds up loads by target. The slowness is the highest.
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -66,13 +66,13 @@
 // eachFreshReport calls f for each report of a live peer that is no older than
 // reportMaxAge, and returns whether every live peer has one. The caller must hold
 // g.mu.
-func (g *Group) eachFreshReport(f func(report *Report)) bool {
+func (g *Group) eachFreshReport(f func(report *Report, age time.Duration)) bool {
 	return g.eachReport(reportMaxAge, f)
 }
 
 // eachReport is eachFreshReport with another maximum age. Peers with incarnation 0 do not
 // count, because they are known only from the host list. The caller must hold g.mu.
-func (g *Group) eachReport(maxAge time.Duration, f func(report *Report)) bool {
+func (g *Group) eachReport(maxAge time.Duration, f func(report *Report, age time.Duration)) bool {
 	now := g.Clock.Now()
 	fresh := 0
 	for name, received := range g.reports {
@@ -80,7 +80,7 @@
 			continue
 		}
 		if m, known := g.members.Get(name); known && m.Status == membership.Alive && m.Incarnation > 0 {
-			f(&received.report)
+			f(&received.report, now.Sub(received.at))
 			fresh++
 		}
 	}
@@ -92,8 +92,9 @@
 func (g *Group) Loads() map[string]placement.TargetLoad {
 	loads := map[string]placement.TargetLoad{}
 	if g.CollectLoads {
-		if others, ok := g.othersCollected(); ok {
+		if others, age, ok := g.othersCollected(); ok {
 			for _, l := range others {
+				l.Age += age
 				loads[l.Target] = l
 			}
 			return loads
@@ -101,9 +102,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.eachReport(g.LoadMaxAge, func(report *Report) {
+	g.eachReport(g.LoadMaxAge, func(report *Report, age time.Duration) {
 		for _, l := range report.Loads {
 			sum := loads[l.Target]
+			if total := sum.Requests + l.Requests; total > 0 {
+				// The mean age of the requests.
+				sum.Age += (age - sum.Age) * time.Duration(l.Requests) / time.Duration(total)
+			}
 			sum.Requests += l.Requests
 			sum.PrefillTokens += l.PrefillTokens
 			sum.HeldTokens += l.HeldTokens
@@ -119,7 +124,7 @@
 func (g *Group) InFlight() (requests int, fresh bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	fresh = g.eachFreshReport(func(report *Report) { requests += report.RequestsInFlight })
+	fresh = g.eachFreshReport(func(report *Report, _ time.Duration) { requests += report.RequestsInFlight })
 	return requests, fresh
 }
 
@@ -128,7 +133,7 @@
 func (g *Group) AccountDemand(account string) (tokensPerSecond float64, inFlight int, fresh bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	fresh = g.eachFreshReport(func(report *Report) {
+	fresh = g.eachFreshReport(func(report *Report, _ time.Duration) {
 		for _, d := range report.Demands {
 			if d.Account == account {
 				tokensPerSecond += d.TokensPerSecond
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -86,10 +86,13 @@
 	// heldTokens is the number of tokens in the prompts and the expected answers.
 	heldTokens float64
 
-	// Requests of the other entry hosts, as they report them.
+	// Requests of the other entry hosts, as expected now, see enginePool.expectPeers.
 	peerInFlight int
 	peerPrefill  float64
 	peerHeld     float64
+	// reported is what the other entry hosts reported, as of reportedAt.
+	reported   TargetLoad
+	reportedAt time.Time
 
 	// otherRequests is the number of reported requests that no entry host has
 	// placed.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -82,6 +82,7 @@
 			}
 			continue
 		}
+		pool.expectPeers(now, e)
 		if req.Long && e.longInFlight >= e.longSlots(b.params.LongSlotPercent) {
 			longFull = true
 			continue
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -74,6 +75,13 @@
 	// token. It exceeds 1 when other hosts cause waits that this host does not
 	// know about.
 	lateness float64
+	// requestTime and firstTime are low estimates of the time from the placement of a
+	// request to its end and to its first token, see observeTime.
+	requestTime, firstTime time.Duration
+	// meanRequests and meanPrefill are the means of the requests and of the prompt tokens
+	// that the other entry hosts reported for each engine, as of meanOf.
+	meanRequests, meanPrefill float64
+	meanOf                    time.Time
 }
 
 // Weight and upper bound of one sample in the moving average of the lateness.
@@ -88,6 +96,71 @@
 	p.lateness = max(1, p.lateness+(ratio-p.lateness)*latenessWeight)
 }
 
+// Weights of a sample below and above the estimate in observeTime.
+const (
+	shorterWeight = 0.2
+	longerWeight  = 0.01
+)
+
+// observeTime adds a measured time to an estimate that follows short times quickly and
+// long ones slowly, so that waiting times hardly count.
+func observeTime(estimate *time.Duration, measured time.Duration) {
+	weight := longerWeight
+	if measured < *estimate {
+		weight = shorterWeight
+	}
+	if *estimate == 0 {
+		weight = 1
+	}
+	*estimate += time.Duration(float64(measured-*estimate) * weight)
+}
+
+// expectPeers sets the load of the other entry hosts that is expected on an engine now.
+// Of the requests reported some time ago, only a part still runs. Others have begun
+// since, but on which engines is unknown, so they count evenly on all. Without that,
+// all hosts would place their requests on the engine with the least reported load until
+// they hear of each other.
+func (p *enginePool) expectPeers(now time.Time, e *engine) {
+	age := now.Sub(e.reportedAt)
+	if e.reportedAt.IsZero() || age <= 0 {
+		return
+	}
+	p.refreshReportedMean(now)
+	e.peerInFlight = int(math.Round(mixed(float64(e.reported.Requests), p.meanRequests, age, p.requestTime)))
+	e.peerPrefill = mixed(e.reported.PrefillTokens, p.meanPrefill, age, p.firstTime)
+}
+
+// mixed returns the reported value for the share of requests that are expected to last
+// longer than age, and the mean for the rest. Without a known duration it returns the
+// mean.
+func mixed(reported, mean float64, age, duration time.Duration) float64 {
+	if duration == 0 {
+		return mean
+	}
+	lasting := math.Exp(-age.Seconds() / duration.Seconds())
+	return lasting*reported + (1-lasting)*mean
+}
+
+// meanInterval is the minimum time between two updates of the mean reported load.
+const meanInterval = 50 * time.Millisecond
+
+func (p *enginePool) refreshReportedMean(now time.Time) {
+	if now.Sub(p.meanOf) < meanInterval {
+		return
+	}
+	p.meanOf = now
+	requests, prefill, n := 0, 0.0, 0
+	for _, e := range p.engines {
+		if e.usable() {
+			requests += e.reported.Requests
+			prefill += e.reported.PrefillTokens
+			n++
+		}
+	}
+	count := float64(max(1, n))
+	p.meanRequests, p.meanPrefill = float64(requests)/count, prefill/count
+}
+
 // NewPlacer returns a Placer without engines.
 func NewPlacer(params Params) *Placer {
 	return &Placer{
@@ -158,6 +231,7 @@
 		b.pools[model] = &enginePool{engines: engines, rendezvous: newRendezvous(engines), medianSlowness: 1, lateness: 1}
 		if known := former[model]; known != nil {
 			b.pools[model].lateness = known.lateness
+			b.pools[model].requestTime, b.pools[model].firstTime = known.requestTime, known.firstTime
 		}
 	}
 }
@@ -278,6 +352,7 @@
 // SetPeerLoad sets the load that the other entry hosts report for a target.
 func (b *Placer) SetPeerLoad(now time.Time, target string, load TargetLoad) {
 	if e := b.find(target); e != nil {
+		e.reported, e.reportedAt = load, now.Add(-load.Age)
 		e.peerInFlight = load.Requests
 		e.peerPrefill = load.PrefillTokens
 		e.peerHeld = load.HeldTokens
@@ -380,6 +455,8 @@
 	// HeldTokens is the number of tokens in the prompts and expected answers of the
 	// requests, 0 if unknown.
 	HeldTokens float64
+	// Age is the time since the load was as described.
+	Age time.Duration
 }
 
 // Loads lists up to limit targets that run requests of this host or are slowed,
--- a/internal/placement/ticket.go
+++ b/internal/placement/ticket.go
@@ -62,6 +62,7 @@
 	e.tokenRate.AddStreams(now, e.spec.TokenGap, 1)
 	measured := now.Sub(t.PlacedAt)
 	e.tracker.Observe(now, measured, t.adjustedExpectedFirst())
+	observeTime(&t.pool.firstTime, measured)
 	t.pool.observeFirst(measured, max(t.ExpectedFirst, minExpectedFirst))
 }
 
@@ -135,6 +136,7 @@
 	}
 	took := now.Sub(t.PlacedAt)
 	e.requestTime += time.Duration(float64(took-e.requestTime) * requestTimeWeight)
+	observeTime(&t.pool.requestTime, took)
 }
 
 func (b *Placer) endPrefill(e *engine, t *Ticket) {
