End a graceful shutdown in time when peers don't answer

Leaving the group (1 s) and the last write (1 s, and 2 s for each batch with a copy at a silent peer) came after the 7 s for running requests, of 8 s. Change: the host leaves while its requests end; releases of copies go out together.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -406,10 +407,13 @@
 	ctx, cancel := context.WithTimeout(force, timeout)
 	defer cancel()
 	_ = clock.Sleep(ctx, h.Clock, delay) // The loop below observes ctx.
+	// A peer that doesn't answer must not take the time of the last write.
+	var leaving sync.WaitGroup
+	leaving.Go(func() { h.group.Leave(ctx) })
 	for _, l := range listeners {
 		l.close(ctx)
 	}
-	h.group.Leave(ctx)
+	leaving.Wait()
 	flushCtx, cancelFlush := context.WithTimeout(context.WithoutCancel(force), h.Config.Table.CallTimeout.Duration)
 	defer cancelFlush()
 	if err := h.ledgerWriter.Flush(flushCtx); err != nil {
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -210,11 +210,7 @@
 			}
 			return err
 		}
-		for _, batch := range batches {
-			if batch.mirrored {
-				w.Mirror.Release(ctx, batch)
-			}
-		}
+		w.release(ctx, batches)
 		w.mu.Lock()
 		w.sealed = w.sealed[len(batches):]
 		for _, batch := range batches {
@@ -225,6 +221,18 @@
 	}
 }
 
+// release notifies the mirror that batches are written, at the same time for all, as each
+// may wait for a host that doesn't answer.
+func (w *Writer) release(ctx context.Context, batches []*Batch) {
+	var calls sync.WaitGroup
+	for _, batch := range batches {
+		if batch.mirrored {
+			calls.Go(func() { w.Mirror.Release(ctx, batch) })
+		}
+	}
+	calls.Wait()
+}
+
 // restoreLost adds the batches that a restored table service lacks to the sealed ones.
 // The lock must be held.
 func (w *Writer) restoreLost() {
--- a/internal/ledger/writer_test.go
+++ b/internal/ledger/writer_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,11 +29,16 @@
 
 // fakeMirror is a peer that stores copies of batches.
 type fakeMirror struct {
+	mu      sync.Mutex
 	batches map[string]*ledger.Batch
 	down    bool
+	// slow makes releases wait until their context ends, for 2 s at most.
+	slow bool
 }
 
 func (k *fakeMirror) Keep(_ context.Context, batch *ledger.Batch) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if k.down {
 		return errors.New("peer is down")
 	}
@@ -40,7 +46,14 @@
 	return nil
 }
 
-func (k *fakeMirror) Release(_ context.Context, batch *ledger.Batch) { delete(k.batches, batch.Key()) }
+func (k *fakeMirror) Release(ctx context.Context, batch *ledger.Batch) {
+	if k.slow {
+		_ = clock.Sleep(ctx, clock.System{}, 2*time.Second)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.batches, batch.Key())
+}
 
 func newWriter(host string, incarnation int64, table ledger.TableProvider, mirror ledger.BatchMirror) *ledger.Writer {
 	return &ledger.Writer{
@@ -199,3 +212,31 @@
 		}
 	})
 }
+
+// A peer that doesn't answer must not hold up a flush for longer than one call, however
+// many batches it has copies of.
+func TestSilentMirrorDelaysFlushOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mirror := &fakeMirror{batches: map[string]*ledger.Batch{}, slow: true}
+		w := newWriter("one", 1, &standin.DirectTable{Platform: standin.NewPlatform(clock.System{})}, mirror)
+		w.Clock, w.FlushEvery, w.CopyEvery, w.BatchRows = clock.System{}, time.Hour, time.Second, 100
+		ctx, end := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		for i := range 8 {
+			w.Add(ledger.Row{RequestID: fmt.Sprint(i), ClientAccount: "orders", Model: "letters", At: time.Unix(0, 0)})
+			time.Sleep(1100 * time.Millisecond)
+		}
+		end()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		began := time.Now()
+		if err := w.Flush(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("the flush of batches with copies at a silent peer took %s, want at most one call, 2 s", took)
+		}
+	})
+}
