--- a/internal/gateway/cacherelay.go
+++ b/internal/gateway/cacherelay.go
@@ -106,8 +106,8 @@
 	return u
 }
 
-// log returns the log of a source. The lock must be held.
-func (g *Gateway) log(source string) *cacheLog {
+// cacheLog returns the log of a source. The lock must be held.
+func (g *Gateway) cacheLog(source string) *cacheLog {
 	l := g.cacheLogs[source]
 	if l == nil {
 		l = &cacheLog{}
@@ -120,7 +120,7 @@
 func (g *Gateway) startPolling(source string) (since int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.log(source)
+	l := g.cacheLog(source)
 	l.polled, l.first, l.events = true, l.since, nil
 	return l.since
 }
@@ -129,7 +129,7 @@
 func (g *Gateway) stopPolling(source string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.log(source)
+	l := g.cacheLog(source)
 	l.polled, l.events = false, nil
 }
 
@@ -166,8 +166,8 @@
 	return 1 << bits.Len(uint(max(0, n-1)/maxGroupSources)) //nolint:gosec // Not negative.
 }
 
-// pollsSource reports whether this host polls a source whose limit of concurrent polls
-// is known, 0 if unknown.
+// pollsSource reports whether this host polls a source itself. limit is the number of
+// concurrent polls that the source accepts, 0 if unknown.
 func (g *Gateway) pollsSource(source string, limit int) bool {
 	if g.CacheRelay == nil || g.HostCount == nil || limit <= 0 || g.HostCount() <= limit {
 		return true
@@ -255,7 +255,7 @@
 	positions := make([]peer.CachePosition, 0, len(sources))
 	g.mu.Lock()
 	for _, source := range sources {
-		l := g.log(source)
+		l := g.cacheLog(source)
 		positions = append(positions, peer.CachePosition{Source: source, Epoch: l.epoch, Since: l.since})
 	}
 	g.mu.Unlock()
@@ -277,7 +277,7 @@
 func (g *Gateway) applyEvents(source string, events CacheEvents, answeredAt time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.log(source)
+	l := g.cacheLog(source)
 	restarted, ok := l.accept(&events, answeredAt)
 	if !ok {
 		return
--- a/internal/peer/collector.go
+++ b/internal/peer/collector.go
@@ -30,8 +30,6 @@
 	collectInterval = 250 * time.Millisecond
 	// collectedMaxAge is how long loads and sums are used.
 	collectedMaxAge = 4 * collectInterval
-	// maxCollected limits the loads in one message.
-	maxCollected = maxLoads
 	// collectorsName is the name by whose hashes the collectors are chosen.
 	collectorsName = "collectors"
 )
@@ -156,7 +154,7 @@
 // CollectLoads takes the loads of a host or the sums of a collector.
 func (s *server) CollectLoads(_ context.Context, request *wire.CollectLoadsRequest) (*wire.CollectLoadsResponse, error) {
 	g := s.group
-	if request.Host == "" || len(request.Host) > maxNameBytes || len(request.Loads) > maxCollected {
+	if request.Host == "" || len(request.Host) > maxNameBytes || len(request.Loads) > maxLoads {
 		return nil, twirp.InvalidArgumentError("loads", "the name of the host is missing or too long, or there are too many loads")
 	}
 	loads, err := decodeLoads(request.Loads)
