--- a/internal/gateway/cacherelay.go
+++ b/internal/gateway/cacherelay.go
@@ -163,7 +163,7 @@
 // groupCount returns the number of groups of n sources, a power of two, so that it seldom
 // changes.
 func groupCount(n int) uint64 {
-	return 1 << bits.Len(uint(max(0, n-1)/maxGroupSources)) //nolint:gosec // Not negative.
+	return 1 << bits.Len(uint(max(0, n-1)/maxGroupSources))
 }
 
 // pollsSource reports whether this host polls a source itself. limit is the number of
--- a/internal/peer/cache.go
+++ b/internal/peer/cache.go
@@ -107,12 +107,12 @@
 	for _, e := range u.Events {
 		number, known := numbers[e.Namespace]
 		if !known {
-			number = int32(len(encoded.Namespaces)) //nolint:gosec // Far below the limit of an int32.
+			number = int32(len(encoded.Namespaces))
 			numbers[e.Namespace] = number
 			encoded.Namespaces = append(encoded.Namespaces, e.Namespace)
 		}
 		encoded.Events = append(encoded.Events, &wire.CacheEvent{
-			Number: e.Number, Removed: e.Removed, Namespace: number, Part: e.Part, Tokens: int32(e.Tokens), //nolint:gosec // Tokens of a prompt part.
+			Number: e.Number, Removed: e.Removed, Namespace: number, Part: e.Part, Tokens: int32(e.Tokens),
 		})
 	}
 	return encoded
--- a/internal/peer/tables.go
+++ b/internal/peer/tables.go
@@ -46,7 +46,7 @@
 func (g *Group) newestPeer(table string) (best membership.Member, newest platform.Position) {
 	for name, received := range g.reports {
 		for _, v := range received.report.Tables {
-			if v.Table != table || !v.Position.After(newest) {
+			if v.Table != table || !v.After(newest) {
 				continue
 			}
 			if m, known := g.members.Get(name); known && m.Status == membership.Alive {
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -125,6 +125,13 @@
 	QuietUntil time.Time
 }
 
+// recordQuiet records a target that accepts no requests of this host until a time.
+func (d *Decision) recordQuiet(until time.Time) {
+	if d.QuietUntil.IsZero() || until.Before(d.QuietUntil) {
+		d.QuietUntil = until
+	}
+}
+
 // Ticket tracks one request on one target from its placement to its end.
 type Ticket struct {
 	Target   string
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -77,9 +77,7 @@
 			continue
 		}
 		if now.Before(e.quietUntil) {
-			if d.QuietUntil.IsZero() || e.quietUntil.Before(d.QuietUntil) {
-				d.QuietUntil = e.quietUntil
-			}
+			d.recordQuiet(e.quietUntil)
 			continue
 		}
 		pool.expectPeers(now, e)
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -297,7 +297,7 @@
 	behind := !f.aheadSince.IsZero()
 	due := behind && now.Sub(f.aheadSince) >= relayDelay
 	f.mu.Unlock()
-	if !due && !(behind && !f.readsService()) {
+	if !due && (!behind || f.readsService()) {
 		return
 	}
 	page, err := f.Relay.PeerRows(ctx, f.Table, newest)
