Read the copies of a test's mirror under its lock

A race of the test, traced by its report; go test -race showed it in 3 of 3 runs. Change: the test takes the fake's lock. Result: go test -race ./internal/ledger -count=2 passes.

--- a/internal/ledger/writer_test.go
+++ b/internal/ledger/writer_test.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -46,6 +48,13 @@
 	return nil
 }
 
+// list returns the stored batches.
+func (k *fakeMirror) list() []*ledger.Batch {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Collect(maps.Values(k.batches))
+}
+
 func (k *fakeMirror) Release(ctx context.Context, batch *ledger.Batch) {
 	if k.slow {
 		_ = clock.Sleep(ctx, clock.System{}, 2*time.Second)
@@ -189,10 +198,10 @@
 			time.Sleep(1100 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
-		if _, commits := service.Counts(); len(mirror.batches) == 0 || commits != 0 || !w.Mirrored() {
-			t.Errorf("after 5 s: %d batches at the peer, %d commits, all copied %t; want some, none, true", len(mirror.batches), commits, w.Mirrored())
+		if _, commits := service.Counts(); len(mirror.list()) == 0 || commits != 0 || !w.Mirrored() {
+			t.Errorf("after 5 s: %d batches at the peer, %d commits, all copied %t; want some, none, true", len(mirror.list()), commits, w.Mirrored())
 		}
-		for _, batch := range mirror.batches {
+		for _, batch := range mirror.list() {
 			if err := ledger.WriteBatch(ctx, table, batch); err != nil {
 				t.Fatal(err)
 			}
@@ -203,8 +212,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(mirror.batches) != 0 || w.Buffered() != 0 || report.Repeated != 0 || report.Totals[0].Placements != 4 {
-			t.Errorf("%d batches at the peer, %d rows buffered, report %+v; want none, none, 4 placements", len(mirror.batches), w.Buffered(), report)
+		if len(mirror.list()) != 0 || w.Buffered() != 0 || report.Repeated != 0 || report.Totals[0].Placements != 4 {
+			t.Errorf("%d batches at the peer, %d rows buffered, report %+v; want none, none, 4 placements", len(mirror.list()), w.Buffered(), report)
 		}
 		end()
 		if err := <-done; err != nil {
