Read the counts of a test's feed under its lock

A race of the test. Change: the counts are read under the fake's lock. Result: go test -race ./internal/platform and the other touched packages pass.

--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -55,6 +55,13 @@
 	change()
 }
 
+// counts returns the reads of the complete table and those of changes.
+func (f *fakeFeed) counts() (loads, feeds int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loads, f.feeds
+}
+
 var errUnavailable = errors.New("service unavailable")
 
 func (f *fakeFeed) Page(context.Context, platform.Scan) (platform.Page, error) {
@@ -353,12 +360,13 @@
 		time.Sleep(time.Second)
 		feed.put("b", "2")
 		time.Sleep(time.Second)
-		if got := fmt.Sprint(known.text(), feed.loads, feed.feeds); got != "a=1 b=2 1 0" {
+		loads, feeds := feed.counts()
+		if got := fmt.Sprint(known.text(), loads, feeds); got != "a=1 b=2 1 0" {
 			t.Errorf("got copy, complete reads and reads of the feed %q, want \"a=1 b=2 1 0\"", got)
 		}
 		reads.Store(true)
 		time.Sleep(time.Second)
-		if feed.feeds == 0 {
+		if _, feeds := feed.counts(); feeds == 0 {
 			t.Error("the feed was not read by a host that has to")
 		}
 		feed.set(func() { feed.unavailable = true })
