--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -227,7 +227,7 @@
 }
 
 // applyOperators applies the configuration and the requested weight versions.
-func (h *RoutedHost) applyOperators(rows []platform.Row, _ bool) {
+func (h *RoutedHost) applyOperators(rows []platform.Row, full bool) {
 	for _, row := range rows {
 		c, err := h.Translator.Config(row)
 		if err != nil {
@@ -244,7 +244,7 @@
 		if model != "" && h.gateway.SetVersion(model, version) {
 			h.leader.SetRequestedVersion(model, version)
 			h.Log.Info().Str("part", "weights").Str("model", model).Int64("version", version).
-				Int64("rowVersion", row.Version).Msg("weights: new version requested")
+				Int64("rowVersion", row.Version).Bool("tableRead", full).Msg("weights: new version requested")
 		}
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,8 +29,10 @@
 	// plainVersion. versionNumber is the number in it, 0 for plainVersion.
 	version       string
 	versionNumber int64
-	namespace     string
-	chain         []prefix.Key
+	// outdatedFor is the time since a newer version was requested, 0 if none was.
+	outdatedFor time.Duration
+	namespace   string
+	chain       []prefix.Key
 	// sources contains the fastest source of each prompt part.
 	sources []source
 	// fetch and save contain the addresses for Call.Fetch and Call.Save.
@@ -180,6 +182,9 @@
 			break
 		}
 		at := g.tryVersion(now, req, w, versionName(w.Model, version), version)
+		if version < weights.requested.Version {
+			at.outdatedFor = now.Sub(weights.requested.OutdatedSince(version))
+		}
 		if at.decision.Target == "" {
 			refused = at
 			continue
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -18,6 +18,7 @@
 		Int64("configVersion", r.work.ConfigVersion).
 		Str("service", r.work.Service).
 		Str("version", at.version).
+		Dur("outdatedFor", at.outdatedFor).
 		Str("target", at.target.ID).
 		Str("address", at.target.Address).
 		Str("reason", string(at.decision.Reason)).
