Count suspensions of a host towards the time limit of replaced weights

Callers could see: a host that was suspended for some seconds would use replaced weights for as much longer, and order swaps as if it had that much more time. Cause: the gateway and the plan of swaps measured the age of a request on the system clock, which doesn't run during a suspension. The lease is on the clock that does. Change: both use the steady clock for it; the plan for all its times. Evidence: TestSuspensionDoesNotExtendUseOfOlderWeights (after a suspension for the time limit a request got an answer from version 1) and TestSuspensionCountsTowardsTimeLimitOfSwaps (1 of 6 targets swapped at once, want 2) failed before and pass now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -175,15 +175,15 @@
 // used. The lock must be held.
 func (g *Gateway) chooseWeights(now time.Time, req *placement.Request, w *work.Work) *attempt {
 	weights := g.weightsOf(w.Model)
-	versions := weights.loaded
+	steady := g.Steady.Now()
 	var best, refused *attempt
-	for _, version := range versions {
-		if !g.allowed(now, weights, version) {
+	for _, version := range weights.loaded {
+		if !g.allowed(steady, weights, version) {
 			break
 		}
 		at := g.tryVersion(now, req, w, versionName(w.Model, version), version)
 		if version < weights.requested.Version {
-			at.outdatedFor = now.Sub(weights.requested.OutdatedSince(version))
+			at.outdatedFor = steady.Sub(weights.requested.OutdatedSince(version))
 		}
 		if at.decision.Target == "" {
 			refused = at
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -229,6 +229,15 @@
 	return s
 }
 
+// steadyClock is the clock of a host that was suspended for some time, which its system
+// clock doesn't count.
+type steadyClock struct {
+	clock.System
+	suspended time.Duration
+}
+
+func (c *steadyClock) Now() time.Time { return c.System.Now().Add(c.suspended) }
+
 func distinct(ids []string) int {
 	ids = slices.Clone(ids)
 	slices.Sort(ids)
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -260,6 +260,18 @@
 	})
 }
 
+// The time for which a host is suspended counts towards the use of older weights.
+func TestSuspensionDoesNotExtendUseOfOlderWeights(t *testing.T) {
+	f := newFixture(t, stream(1, 2, io.EOF))
+	steady := &steadyClock{}
+	f.Steady = steady
+	f.SetVersion(letter, 2)
+	steady.suspended = f.Config.Rollout.TimeLimit.Duration
+	if s := f.serve(request(routing.Stream, 1)); s.refused == nil || !s.refused.NotRun {
+		t.Errorf("after a suspension for the time limit: got %+v, want a refusal", s)
+	}
+}
+
 // A target that is about to swap must get only short requests.
 func TestDrainingTargetsGetShortRequests(t *testing.T) {
 	f := newFixture(t, stream(1, 2, io.EOF))
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -47,7 +47,7 @@
 	if version <= w.requested.Version {
 		return false
 	}
-	w.requested = w.requested.Supersede(version, g.Clock.Now())
+	w.requested = w.requested.Supersede(version, g.Steady.Now())
 	return true
 }
 
@@ -148,13 +148,13 @@
 
 // allowed reports whether requests may still start on a version of the weights:
 // it is the requested one or newer, or was replaced less than the time limit of a
-// rollout ago, minus a margin. The lock must be held.
-func (g *Gateway) allowed(now time.Time, w *modelWeights, version int64) bool {
+// rollout ago, minus a margin. The time steady is that of g.Steady. The lock must be held.
+func (g *Gateway) allowed(steady time.Time, w *modelWeights, version int64) bool {
 	if version >= w.requested.Version {
 		return true
 	}
 	cfg := g.Config.Rollout
-	return now.Sub(w.requested.OutdatedSince(version)) < cfg.TimeLimit.Duration-cfg.Margin.Duration
+	return steady.Sub(w.requested.OutdatedSince(version)) < cfg.TimeLimit.Duration-cfg.Margin.Duration
 }
 
 // swapTimeout is how long a target that is reported to swap its weights gets no
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -114,7 +114,7 @@
 	if l.requested[model].Version < version {
 		requested := l.requested[model]
 		requested.Model = model
-		l.requested[model] = requested.Supersede(version, l.Clock.Now())
+		l.requested[model] = requested.Supersede(version, l.Steady.Now())
 	}
 }
 
@@ -245,7 +245,7 @@
 	renew := !l.Lease.Holds(now, l.Lease.TTL/renewDivisor)
 	changed := false
 	if holds {
-		l.Plan.Update(l.Clock.Now(), targets, requested)
+		l.Plan.Update(now, targets, requested)
 		changed = l.rowOutdated()
 	}
 	known := l.Lease.Known()
@@ -352,7 +352,7 @@
 // sendOrders sends the due orders concurrently.
 func (l *Leader) sendOrders(ctx context.Context, targets []fleet.Target) {
 	l.mu.Lock()
-	due := l.Plan.Due(l.Clock.Now(), targets)
+	due := l.Plan.Due(l.Steady.Now(), targets)
 	fencingToken := l.Lease.FencingToken()
 	l.mu.Unlock()
 	var sending sync.WaitGroup
@@ -384,7 +384,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Plan.Accepted(l.Clock.Now(), order.Target.ID)
+	l.Plan.Accepted(l.Steady.Now(), order.Target.ID)
 }
 
 // issueOrder reads the state of the target and sends the order if the lease is still
--- a/internal/rollout/leader_test.go
+++ b/internal/rollout/leader_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -92,6 +94,8 @@
 	versions map[string]int64
 	orders   map[string]int64
 	received []receivedOrder
+	// refuse makes all targets refuse orders.
+	refuse atomic.Bool
 }
 
 type receivedOrder struct {
@@ -109,6 +113,9 @@
 func (e *fakeEngines) OrderWeights(_ context.Context, order rollout.Order, holder string, fencingToken int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.refuse.Load() {
+		return errors.New("refused")
+	}
 	e.received = append(e.received, receivedOrder{holder, fencingToken, time.Now()})
 	if e.orders[order.Target.ID] != order.After {
 		return fmt.Errorf("%d orders were accepted, want %d", e.orders[order.Target.ID], order.After)
@@ -299,6 +306,40 @@
 	})
 }
 
+// steadyClock is the clock of a host that was suspended for some time, which its system
+// clock doesn't count.
+type steadyClock struct {
+	clock.System
+	suspended atomic.Int64
+}
+
+func (c *steadyClock) Now() time.Time { return c.System.Now().Add(time.Duration(c.suspended.Load())) }
+
+// A holder whose host was suspended for most of the time limit swaps as many targets at
+// once as the remaining time requires.
+func TestSuspensionCountsTowardsTimeLimitOfSwaps(t *testing.T) {
+	runLeaders(t, func(row *leaseRow, e *fakeEngines, leaders map[string]*rollout.Leader) {
+		steady := &steadyClock{}
+		for _, l := range leaders {
+			l.Steady = steady
+		}
+		e.refuse.Store(true)
+		requestVersion(leaders, 2)
+		time.Sleep(time.Second)
+		steady.suspended.Store(int64(newPlan().TimeLimit))
+		time.Sleep(time.Second)
+		row.mu.Lock()
+		defer row.mu.Unlock()
+		r, err := lease.Decode(row.value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := len(r.Busy) + len(r.Pending); got != 2 {
+			t.Errorf("%d of 6 targets swap at once after the time limit, want 2, twice the usual number", got)
+		}
+	})
+}
+
 func TestNoOrderWithoutTableService(t *testing.T) {
 	runLeaders(t, func(row *leaseRow, e *fakeEngines, leaders map[string]*rollout.Leader) {
 		row.set(func() { row.cutOff = map[string]bool{"a": true, "b": true, "c": true} })
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -16,7 +16,8 @@
 type RequestedVersion struct {
 	Model   string
 	Version int64
-	// Since is when this host received the request.
+	// Since is when this host received the request, on a clock that also runs while the
+	// host is suspended.
 	Since time.Time
 	// Earlier are the versions requested before, oldest first.
 	Earlier []EarlierVersion
@@ -66,8 +67,9 @@
 	attemptedAt time.Time
 }
 
-// Plan decides which targets swap next. It does no I/O and reads no clock. It is
-// not safe for concurrent use.
+// Plan decides which targets swap next. It does no I/O and reads no clock: its times are
+// those of a clock that also runs while the host is suspended. It is not safe for
+// concurrent use.
 type Plan struct {
 	// SwapShare is the fraction of a model's targets that swap at the same time. It is
 	// exceeded if that is necessary to meet TimeLimit.
