Keep since when weight versions are requested across restarts of hosts

Cause: a host dates the request for a version from its own receipt of the operators' row. A host that starts reads the row in its first copy of the table, whenever it was written, and counts the time limit anew: it uses replaced weights up to a whole limit longer, and as holder of the lease it sees no hurry to swap. The class: the time of receipt stands for the time of the event; the same holds for rows that come late, through a peer after an outage. Change: a row is taken to be as old as the last answer of the table service that lacked it, on the service's steady clock, and is passed on to peers with that time. Where a time is unknown, replaced weights are not used and swaps count as overdue. Gateway and plan share one record of requests. Why it works: the age no longer depends on when a process started or heard of the row, and what isn't known counts as old.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -83,6 +83,7 @@
 	table        *platform.Client
 	fleet        *fleet.View
 	gateway      *gateway.Gateway
+	requests     *rollout.Requests
 	leader       *rollout.Leader
 	group        *peer.Group
 	hosts        *hostRows
@@ -134,7 +135,9 @@
 		Reads:   rate.NewLimiter(rate.Limit(cfg.Table.ReadsPerSecond), burst(cfg.Table.ReadsPerSecond)),
 		Writes:  rate.NewLimiter(rate.Limit(cfg.Table.WritesPerSecond), burst(cfg.Table.WritesPerSecond)),
 		Breaker: &platform.Breaker{Clock: h.Clock, Failures: cfg.Table.BreakerFailures, Pause: cfg.Table.BreakerPause.Duration},
+		Steady:  h.Steady,
 	}
+	h.requests = &rollout.Requests{}
 	h.fleet = fleet.NewView()
 	h.fleet.LeaveTimeout = cfg.Table.LeaveTimeout.Duration
 	h.ledgerWriter = &ledger.Writer{
@@ -144,12 +147,12 @@
 	}
 	h.gateway = &gateway.Gateway{
 		Host: cfg.Host, FailureDomain: cfg.FailureDomain, Config: cfg, Clock: h.Clock, Steady: h.Steady, Targets: h.Targets,
-		Fleet: h.fleet, Ledger: h.ledgerWriter, Freer: h.Freer, Log: h.Log, Metrics: h.metrics,
+		Fleet: h.fleet, Ledger: h.ledgerWriter, Freer: h.Freer, Requests: h.requests, Log: h.Log, Metrics: h.metrics,
 	}
 	h.gateway.Init()
 	h.buildGroup(incarnation)
 	h.leader = &rollout.Leader{
-		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Targets: h.Orders, Clock: h.Clock, Steady: h.Steady, Log: h.Log,
+		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Targets: h.Orders, Clock: h.Clock, Steady: h.Steady, Log: h.Log, Requests: h.requests,
 		Plan: rollout.Plan{
 			SwapShare: cfg.Rollout.SwapShare, ConcurrentLoads: cfg.Rollout.ConcurrentLoads, Drain: cfg.Rollout.Drain.Duration, TimeLimit: cfg.Rollout.TimeLimit.Duration,
 			SettleDelay: cfg.Rollout.SettleDelay.Duration, KeepRuns: cfg.Rollout.KeepRuns, RepeatAfter: cfg.Rollout.RepeatAfter.Duration,
@@ -241,14 +244,27 @@
 		if err != nil {
 			h.Log.Error().Str("part", "weights").Int64("rowVersion", row.Version).Err(err).Msg("weights: row rejected, the previous version stays in force")
 		}
-		if model != "" && h.gateway.SetVersion(model, version) {
-			h.leader.SetRequestedVersion(model, version)
-			h.Log.Info().Str("part", "weights").Str("model", model).Int64("version", version).
-				Int64("rowVersion", row.Version).Bool("tableRead", full).Msg("weights: new version requested")
+		if model != "" {
+			h.requestVersion(model, version, row, full)
 		}
 	}
 }
 
+// requestVersion records a requested weight version. tableRead tells whether the row was
+// found on reading the complete table. The time of the request is then unknown, unless this
+// host has followed the table before or finds it in the shared table.
+func (h *RoutedHost) requestVersion(model string, version int64, row platform.Row, tableRead bool) {
+	since, known := h.table.ServiceTime(row.Era, row.WrittenAfter)
+	if !h.requests.Add(model, version, since) {
+		return
+	}
+	entry := h.Log.Info().Str("part", "weights").Str("model", model).Int64("version", version).Int64("rowVersion", row.Version).Bool("tableRead", tableRead)
+	if known {
+		entry = entry.Dur("requestedFor", h.Steady.Now().Sub(since))
+	}
+	entry.Msg("weights: new version requested")
+}
+
 // applyTargets applies the complete list of targets when full is set, otherwise
 // the changed rows.
 func (h *RoutedHost) applyTargets(rows []platform.Row, full bool) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,7 +29,8 @@
 	// plainVersion. versionNumber is the number in it, 0 for plainVersion.
 	version       string
 	versionNumber int64
-	// outdatedFor is the time since a newer version was requested, 0 if none was.
+	// outdatedFor is the time since a newer version was requested, 0 if none was. Older
+	// weights are only used while it is known.
 	outdatedFor time.Duration
 	namespace   string
 	chain       []prefix.Key
@@ -175,15 +176,15 @@
 // used. The lock must be held.
 func (g *Gateway) chooseWeights(now time.Time, req *placement.Request, w *work.Work) *attempt {
 	weights := g.weightsOf(w.Model)
-	steady := g.Steady.Now()
+	requested, steady := g.Requests.Of(w.Model), g.Steady.Now()
 	var best, refused *attempt
 	for _, version := range weights.loaded {
-		if !g.allowed(steady, weights, version) {
+		if !g.allowed(steady, &requested, version) {
 			break
 		}
 		at := g.tryVersion(now, req, w, versionName(w.Model, version), version)
-		if version < weights.requested.Version {
-			at.outdatedFor = steady.Sub(weights.requested.OutdatedSince(version))
+		if version < requested.Version {
+			at.outdatedFor = steady.Sub(requested.OutdatedSince(version))
 		}
 		if at.decision.Target == "" {
 			refused = at
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -19,6 +19,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/gateway"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
+	"sassafrasplank.example/sassafrasplank/internal/rollout"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
 	"sassafrasplank.example/sassafrasplank/internal/work"
 )
@@ -198,7 +199,7 @@
 	cfg.Host, cfg.FailureDomain = "h", "north"
 	f.Gateway = &gateway.Gateway{
 		Host: "h", FailureDomain: "north", Config: cfg, Clock: clock.System{}, Steady: clock.System{}, Targets: f.targets,
-		Fleet: view, Ledger: f.ledger, Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Fleet: view, Ledger: f.ledger, Requests: &rollout.Requests{}, Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		Metrics: metrics.NewRegistry(),
 	}
 	f.Init()
@@ -223,6 +224,9 @@
 	return w
 }
 
+// requestVersion records that operators request a version of the weights now.
+func (f *fixture) requestVersion(version int64) { f.Requests.Add(letter, version, f.Steady.Now()) }
+
 func (f *fixture) serve(item *work.Work) *fakeSink {
 	s := &fakeSink{}
 	f.Serve(context.Background(), item, s)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/retry"
+	"sassafrasplank.example/sassafrasplank/internal/rollout"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
 )
 
@@ -43,6 +44,8 @@
 	Fleet   *fleet.View
 	Ledger  LedgerWriter
 	Freer   PartFreer
+	// Requests contains the weight versions that operators request.
+	Requests *rollout.Requests
 	// HostCount returns the number of live entry hosts. If it is nil, few hosts are
 	// assumed.
 	HostCount func() int
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -207,7 +207,7 @@
 // the requested version.
 func TestSwappingTargets(t *testing.T) {
 	f := newFixture(t, stream(1, 2, io.EOF))
-	f.SetVersion(letter, 2)
+	f.requestVersion(2)
 	f.SetSwapping([]string{"e1", "e2"}, nil)
 	if s := f.serve(request(routing.Stream, 1)); s.refused == nil || !s.refused.NotRun {
 		t.Errorf("got %+v while all targets swap, want a refusal that says not run", s)
@@ -226,7 +226,7 @@
 // it.
 func TestSwappedTargetsGetLongRequests(t *testing.T) {
 	f := newFixture(t, stream(1, 2, io.EOF))
-	f.SetVersion(letter, 2)
+	f.requestVersion(2)
 	f.SetSwapping(nil, []string{"e1"})
 	f.SetSwapping([]string{"e1"}, nil)
 	f.Fleet.Put(fleet.Target{ID: "e1", Service: loom, Address: "e1:1", Slots: 16, Versions: map[string]int64{letter: 2}})
@@ -246,9 +246,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, stream(1, 2, io.EOF))
 		limit := f.Config.Rollout.TimeLimit.Duration - f.Config.Rollout.Margin.Duration
-		f.SetVersion(letter, 2)
+		f.requestVersion(2)
 		time.Sleep(limit / 2)
-		f.SetVersion(letter, 3)
+		f.requestVersion(3)
 		time.Sleep(limit/2 - time.Millisecond)
 		if s := f.serve(request(routing.Stream, 1)); s.body != "12" {
 			t.Errorf("before the time limit: got %+v, want an answer", s)
@@ -260,12 +260,26 @@
 	})
 }
 
+// Weights that were replaced at an unknown time must not be used, as they may have been
+// replaced long ago.
+func TestWeightsReplacedAtUnknownTimeAreNotUsed(t *testing.T) {
+	f := newFixture(t, stream(1, 2, io.EOF))
+	f.Requests.Add(letter, 2, time.Time{})
+	if s := f.serve(request(routing.Stream, 1)); s.refused == nil || !s.refused.NotRun {
+		t.Errorf("got %+v, want a refusal", s)
+	}
+	f.Requests.Add(letter, 2, f.Steady.Now())
+	if s := f.serve(request(routing.Stream, 1)); s.body != "12" {
+		t.Errorf("after the time is known: got %+v, want an answer", s)
+	}
+}
+
 // The time for which a host is suspended counts towards the use of older weights.
 func TestSuspensionDoesNotExtendUseOfOlderWeights(t *testing.T) {
 	f := newFixture(t, stream(1, 2, io.EOF))
 	steady := &steadyClock{}
 	f.Steady = steady
-	f.SetVersion(letter, 2)
+	f.requestVersion(2)
 	steady.suspended = f.Config.Rollout.TimeLimit.Duration
 	if s := f.serve(request(routing.Stream, 1)); s.refused == nil || !s.refused.NotRun {
 		t.Errorf("after a suspension for the time limit: got %+v, want a refusal", s)
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -14,8 +14,6 @@
 
 // modelWeights tracks the weight versions of one model.
 type modelWeights struct {
-	// requested is the version that operators request.
-	requested rollout.RequestedVersion
 	// loaded contains the versions that targets have loaded, the newest first. It
 	// is kept if no listed target has loaded any. oldestSince is when the oldest of
 	// them last changed.
@@ -38,19 +36,6 @@
 // but a late answer is worth even less.
 const newVersionGoalShare = 0.3
 
-// SetVersion records the version of a model that operators request. Versions
-// only increase. It reports whether this one is new.
-func (g *Gateway) SetVersion(model string, version int64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w := g.weightsOf(model)
-	if version <= w.requested.Version {
-		return false
-	}
-	w.requested = w.requested.Supersede(version, g.Steady.Now())
-	return true
-}
-
 // weightsOf returns the weights of a model, and adds them if they are unknown.
 // The lock must be held.
 func (g *Gateway) weightsOf(name string) *modelWeights {
@@ -136,10 +121,10 @@
 }
 
 // upToDate reports whether a target has loaded, for each of its models, the version
-// that operators request or a newer one. The lock must be held.
+// that operators request or a newer one.
 func (g *Gateway) upToDate(t fleet.Target) bool {
 	for model, version := range t.Versions {
-		if w := g.weights[model]; w != nil && version < w.requested.Version {
+		if version < g.Requests.Of(model).Version {
 			return false
 		}
 	}
@@ -148,13 +133,14 @@
 
 // allowed reports whether requests may still start on a version of the weights:
 // it is the requested one or newer, or was replaced less than the time limit of a
-// rollout ago, minus a margin. The time steady is that of g.Steady. The lock must be held.
-func (g *Gateway) allowed(steady time.Time, w *modelWeights, version int64) bool {
-	if version >= w.requested.Version {
+// rollout ago, minus a margin. A version that was replaced at an unknown time is not
+// allowed. The time steady is that of g.Steady.
+func (g *Gateway) allowed(steady time.Time, requested *rollout.RequestedVersion, version int64) bool {
+	if version >= requested.Version {
 		return true
 	}
 	cfg := g.Config.Rollout
-	return steady.Sub(w.requested.OutdatedSince(version)) < cfg.TimeLimit.Duration-cfg.Margin.Duration
+	return steady.Sub(requested.OutdatedSince(version)) < cfg.TimeLimit.Duration-cfg.Margin.Duration
 }
 
 // swapTimeout is how long a target that is reported to swap its weights gets no
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 )
 
 // maxAnswerBytes limits how much of an answer is read.
@@ -37,6 +39,11 @@
 	Reads       *rate.Limiter
 	Writes      *rate.Limiter
 	Breaker     *Breaker
+	// Steady is the clock of ServiceTime. It also runs while the host is suspended. It may
+	// be nil, ServiceTime then knows no time.
+	Steady clock.Clock
+
+	serviceClock serviceClock
 
 	readCount   atomic.Int64
 	writeCount  atomic.Int64
@@ -63,6 +70,19 @@
 // has.
 func (c *Client) Era() int64 { return c.era.Load() }
 
+// ServiceTime returns the time of Steady at which the clock of the table service showed
+// millis in an era. It is late by the time that an answer takes to arrive. It returns false
+// if this isn't the present era, or if the clock of the service isn't known.
+func (c *Client) ServiceTime(era, millis int64) (time.Time, bool) {
+	return c.serviceClock.timeAt(era, millis)
+}
+
+// ServiceMillis returns what the clock of the table service shows at a time of Steady, and
+// the present era. It returns false if that clock isn't known.
+func (c *Client) ServiceMillis(t time.Time) (era, millis int64, ok bool) {
+	return c.serviceClock.millisAt(t)
+}
+
 // observeEra records the era that an answer states, and returns it.
 func (c *Client) observeEra(response *http.Response) int64 {
 	era := c.codec().Era(response.Header)
@@ -239,6 +259,9 @@
 	}
 	page, err := c.codec().DecodePage(response.StatusCode, body)
 	c.tableDone(err == nil || errors.Is(err, ErrHistoryGone))
+	if c.Steady != nil {
+		c.serviceClock.observe(c.Steady.Now(), era, page.Clock)
+	}
 	page.Era = era
 	for i := range page.Rows {
 		page.Rows[i].Era = era
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -84,6 +84,9 @@
 	newest Position
 	// after is the position from which the feed continues. Its era is that of the copy.
 	after Position
+	// clock is the clock of the service, in milliseconds, at the last answer of which this
+	// copy has all rows. It is 0 if no such answer is known.
+	clock int64
 	// loaded is set once the complete table has been applied.
 	loaded      bool
 	unavailable bool
@@ -176,11 +179,16 @@
 	}
 	var changed []Row
 	for _, row := range page.Rows {
+		// Rows of a peer may have a later time.
+		row.WrittenAfter = max(row.WrittenAfter, f.clock)
 		if f.put(row) {
 			changed = append(changed, row)
 		}
 	}
 	f.after.Version = max(f.after.Version, page.Version)
+	if !page.More {
+		f.clock = max(f.clock, page.Clock)
+	}
 	if len(changed) > 0 {
 		f.Apply(changed, false)
 	}
@@ -229,6 +237,7 @@
 func (f *Follower) load(ctx context.Context) error {
 	var rows []Row
 	var start Position
+	var startClock int64
 	scan := Scan{Table: f.Table, Limit: followPage}
 	for first := true; ; first = false {
 		page, err := f.Client.Page(ctx, scan)
@@ -236,7 +245,7 @@
 			return err
 		}
 		if first {
-			start = Position{Era: page.Era, Version: page.Version}
+			start, startClock = Position{Era: page.Era, Version: page.Version}, page.Clock
 		}
 		if page.Era != start.Era {
 			return fmt.Errorf("%w: restored from an older copy while table %s was read", ErrUnavailable, f.Table)
@@ -248,13 +257,14 @@
 		scan.After = page.Rows[len(page.Rows)-1].Key
 	}
 	f.answered()
-	f.applyAll(rows, start)
+	f.applyAll(rows, start, startClock)
 	return nil
 }
 
-// applyAll applies the complete table as read at a position. If the copy is later, since
-// a peer has sent later changes meanwhile, it is kept.
-func (f *Follower) applyAll(rows []Row, at Position) {
+// applyAll applies the complete table as read at a position, when the clock of the service
+// showed clock, 0 if that isn't known. If the copy is later, since a peer has sent later
+// changes meanwhile, it is kept.
+func (f *Follower) applyAll(rows []Row, at Position, clock int64) {
 	f.mu.Lock()
 	restored := f.loaded && at.Era > f.after.Era
 	f.mu.Unlock()
@@ -269,9 +279,17 @@
 		f.loaded = true
 		return
 	}
-	f.rows, f.removed, f.newest = map[string]Row{}, 0, Position{Era: at.Era}
+	before, readBefore := f.rows, f.clock
+	if at.Era != f.after.Era {
+		readBefore = 0 // A service that was restored may have another clock.
+	}
+	f.rows, f.removed, f.newest, f.clock = map[string]Row{}, 0, Position{Era: at.Era}, clock
 	listed := make([]Row, 0, len(rows))
 	for _, row := range rows {
+		row.WrittenAfter = max(row.WrittenAfter, readBefore)
+		if known, ok := before[row.Key]; ok && known.Position() == row.Position() {
+			row.WrittenAfter = known.WrittenAfter
+		}
 		f.put(row)
 		if !row.Removed {
 			listed = append(listed, row)
@@ -309,7 +327,7 @@
 	f.Log.Info().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("ahead", ahead.Version).
 		Int64("era", ahead.Era).Int("rows", len(page.Rows)).Msg("follower: received rows from a peer")
 	if !loaded || page.Whole {
-		f.applyAll(page.Rows, Position{Era: page.Era, Version: page.Version})
+		f.applyAll(page.Rows, Position{Era: page.Era, Version: page.Version}, 0)
 		return
 	}
 	f.merge(page)
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -71,7 +71,7 @@
 		return platform.Page{}, errUnavailable
 	}
 	f.loads++
-	page := platform.Page{Version: f.version, Era: f.era}
+	page := platform.Page{Version: f.version, Era: f.era, Clock: time.Now().UnixMilli()}
 	for _, row := range f.rows {
 		if !row.Removed {
 			row.Era = f.era
@@ -93,7 +93,9 @@
 	case after < f.oldest, after > f.version:
 		return platform.Page{Era: f.era}, platform.ErrHistoryGone
 	}
-	return f.since(after), nil
+	page := f.since(after)
+	page.Clock = time.Now().UnixMilli()
+	return page, nil
 }
 
 func (f *fakeFeed) since(after int64) platform.Page {
@@ -136,15 +138,18 @@
 type tableCopy struct {
 	mu   sync.Mutex
 	rows map[string]string
+	// writtenAfter contains Row.WrittenAfter of each row.
+	writtenAfter map[string]int64
 }
 
 func (c *tableCopy) apply(rows []platform.Row, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if full {
-		c.rows = map[string]string{}
+		c.rows, c.writtenAfter = map[string]string{}, map[string]int64{}
 	}
 	for _, row := range rows {
+		c.writtenAfter[row.Key] = row.WrittenAfter
 		if row.Removed {
 			delete(c.rows, row.Key)
 			continue
@@ -384,3 +389,55 @@
 		}
 	})
 }
+
+// Row.WrittenAfter is never later than the write of the row, and is known for all rows that
+// are written after the first read, also if they come late, through a peer, or with a second
+// read of the table. It is unknown after the first read and after a restore.
+func TestFollowerBoundsTimesOfWrites(t *testing.T) {
+	follow(t, true, func(f *fakeFeed, c *tableCopy) {
+		check := func(what, key string, writtenAt time.Time, slack time.Duration) {
+			t.Helper()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			got := time.UnixMilli(c.writtenAfter[key])
+			if got.After(writtenAt) || writtenAt.Sub(got) > slack {
+				t.Errorf("%s: written at %s, after %s as received, want at most %s before", what, writtenAt, got, slack)
+			}
+		}
+		unknown := func(what, key string) {
+			t.Helper()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if c.writtenAfter[key] != 0 {
+				t.Errorf("%s: got time %d ms, want 0 for unknown", what, c.writtenAfter[key])
+			}
+		}
+		const interval = 200 * time.Millisecond // between two answers of the fake
+		unknown("first read", "a")
+		f.put("b", "1")
+		writtenAt := time.Now()
+		time.Sleep(time.Second)
+		check("change", "b", writtenAt, interval)
+		unknown("unchanged row", "a")
+		f.set(func() { f.unavailable = true })
+		lastAnswer := time.Now()
+		time.Sleep(3 * time.Second)
+		f.put("c", "1")
+		time.Sleep(time.Second)
+		check("row of a peer during an outage", "c", lastAnswer, interval)
+		f.set(func() { f.unavailable = false })
+		time.Sleep(2 * time.Second)
+		writtenAt = time.Now()
+		f.set(func() {
+			f.version += 10
+			f.oldest = f.version
+			f.rows["d"] = platform.Row{Key: "d", Version: f.version, Value: []byte("1")}
+		})
+		time.Sleep(time.Second)
+		check("second read", "d", writtenAt, interval)
+		check("row known before a second read", "c", lastAnswer, interval)
+		f.restore(map[string]platform.Row{"e": {Key: "e", Version: 1, Value: []byte("1")}}, 1)
+		time.Sleep(time.Second)
+		unknown("restored service", "e")
+	})
+}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -12,48 +12,6 @@
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 )
 
-// RequestedVersion is the version of a model that operators request.
-type RequestedVersion struct {
-	Model   string
-	Version int64
-	// Since is when this host received the request, on a clock that also runs while the
-	// host is suspended.
-	Since time.Time
-	// Earlier are the versions requested before, oldest first.
-	Earlier []EarlierVersion
-}
-
-// EarlierVersion is a version that was requested before the present one, and
-// when this host received that request.
-type EarlierVersion struct {
-	Version int64
-	Since   time.Time
-}
-
-// Supersede returns r with a newer version requested at now. The version of r
-// becomes an earlier one.
-func (r RequestedVersion) Supersede(version int64, now time.Time) RequestedVersion {
-	if r.Version > 0 {
-		r.Earlier = append(slices.Clone(r.Earlier), EarlierVersion{r.Version, r.Since})
-		r.Earlier = r.Earlier[max(0, len(r.Earlier)-maxEarlierVersions):]
-	}
-	r.Version, r.Since = version, now
-	return r
-}
-
-// maxEarlierVersions limits RequestedVersion.Earlier.
-const maxEarlierVersions = 16
-
-// OutdatedSince returns when the first version newer than the given one was requested.
-func (r RequestedVersion) OutdatedSince(version int64) time.Time {
-	for _, earlier := range r.Earlier {
-		if earlier.Version > version {
-			return earlier.Since
-		}
-	}
-	return r.Since
-}
-
 // swap is the swap of one target to a version.
 type swap struct {
 	model   string
