Log the fingerprint of a request whose attempt failed

Cause of this change: crashes are counted by fingerprint, and no line of the routed path has it, though docs/OPERATIONS.md says to compare it between hosts. Whether requests were counted apart or hosts didn't add up their counts can't be told without it. Change: `attempt: failed` has `fingerprint`. No decision changes.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -59,6 +59,7 @@
 		Str("address", at.target.Address).
 		Int64("lastEvent", r.lastID).
 		Int("crashes", crashes).
+		Str("fingerprint", r.work.Fingerprint).
 		Dur("age", r.g.Clock.Now().Sub(r.work.Received)).
 		Err(err).
 		Msg("attempt: failed")
