Record the times of requests for weights by any host that knows them

Cause: the row of times was part of the lease's transaction and left out what its writer didn't know; times were converted once, as received. Change: a Recorder of its own keeps the row: the holder of the lease writes at once, any host that knows more after 2 to 10 s, on the condition of the row's version. Unknown times are recorded as such. Times of the row go before the own ones and are converted again once the clock of the service is known. The time of a known version stays. Clocks are compared by when the call was sent, so no conversion is late. Rows first read after an outage of 1 s and three failed calls count as old as the last failed call.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -83,8 +83,9 @@
 	table        *platform.Client
 	fleet        *fleet.View
 	gateway      *gateway.Gateway
-	requests     *rollout.Requests
+	requested    *rollout.RequestedVersions
 	leader       *rollout.Leader
+	recorder     *rollout.Recorder
 	group        *peer.Group
 	hosts        *hostRows
 	copies       tableCopies
@@ -137,7 +138,7 @@
 		Breaker: &platform.Breaker{Clock: h.Clock, Failures: cfg.Table.BreakerFailures, Pause: cfg.Table.BreakerPause.Duration},
 		Steady:  h.Steady,
 	}
-	h.requests = &rollout.Requests{}
+	h.requested = &rollout.RequestedVersions{}
 	h.fleet = fleet.NewView()
 	h.fleet.LeaveTimeout = cfg.Table.LeaveTimeout.Duration
 	h.ledgerWriter = &ledger.Writer{
@@ -147,12 +148,12 @@
 	}
 	h.gateway = &gateway.Gateway{
 		Host: cfg.Host, FailureDomain: cfg.FailureDomain, Config: cfg, Clock: h.Clock, Steady: h.Steady, Targets: h.Targets,
-		Fleet: h.fleet, Ledger: h.ledgerWriter, Freer: h.Freer, Requests: h.requests, Log: h.Log, Metrics: h.metrics,
+		Fleet: h.fleet, Ledger: h.ledgerWriter, Freer: h.Freer, Requested: h.requested, Log: h.Log, Metrics: h.metrics,
 	}
 	h.gateway.Init()
 	h.buildGroup(incarnation)
 	h.leader = &rollout.Leader{
-		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Targets: h.Orders, Clock: h.Clock, Steady: h.Steady, Log: h.Log, Requests: h.requests,
+		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Targets: h.Orders, Clock: h.Clock, Steady: h.Steady, Log: h.Log, Requested: h.requested,
 		Plan: rollout.Plan{
 			SwapShare: cfg.Rollout.SwapShare, ConcurrentLoads: cfg.Rollout.ConcurrentLoads, Drain: cfg.Rollout.Drain.Duration, TimeLimit: cfg.Rollout.TimeLimit.Duration,
 			SettleDelay: cfg.Rollout.SettleDelay.Duration, KeepRuns: cfg.Rollout.KeepRuns, RepeatAfter: cfg.Rollout.RepeatAfter.Duration,
@@ -160,6 +161,10 @@
 		Rank: rank(cfg.Host), OnSwapping: h.gateway.SetSwapping, Cleaner: h.gateway,
 		Lease: lease.State{Host: cfg.Host, Incarnation: incarnation, TTL: cfg.Rollout.LeaseTTL.Duration, QuietPeriod: cfg.Rollout.QuietPeriod.Duration + cfg.Rollout.QuietMargin.Duration},
 	}
+	h.recorder = &rollout.Recorder{
+		Table: h.table, Requested: h.requested, Fleet: h.fleet, Clock: h.Clock, Steady: h.Steady, Log: h.Log,
+		Rank: rank(cfg.Host), HoldsLease: h.leader.HoldsLease,
+	}
 }
 
 func (h *RoutedHost) buildGroup(incarnation int64) {
@@ -200,6 +205,7 @@
 		Table: platform.SharedTable, Wait: sharedWait, Pause: sharedPause,
 		Apply: func(rows []platform.Row, full bool) {
 			h.leader.ApplyRows(rows, full)
+			h.recorder.ApplyRows(rows, full)
 			h.hosts.ApplyRows(rows, full)
 		},
 	}
@@ -217,7 +223,7 @@
 
 func (h *RoutedHost) tasks() []func(context.Context) error {
 	tasks := []func(context.Context) error{
-		h.ledgerWriter.Run, h.leader.Run, h.hosts.Run, h.group.Run, h.expire, h.notifyReady,
+		h.ledgerWriter.Run, h.leader.Run, h.recorder.Run, h.hosts.Run, h.group.Run, h.expire, h.notifyReady,
 		func(ctx context.Context) error { h.gateway.FollowPeers(ctx, h.group); return nil },
 		func(ctx context.Context) error { h.gateway.WatchCaches(ctx, h.CacheEvents); return nil },
 		func(ctx context.Context) error { h.gateway.WatchStores(ctx, h.CacheEvents); return nil },
@@ -254,8 +260,8 @@
 // found on reading the complete table. The time of the request is then unknown, unless this
 // host has followed the table before or finds it in the shared table.
 func (h *RoutedHost) requestVersion(model string, version int64, row platform.Row, tableRead bool) {
-	since, known := h.table.ServiceTime(row.Era, row.WrittenAfter)
-	if !h.requests.Add(model, version, since) {
+	since, known := h.table.ServiceTime(row.Era, row.WrittenAfterMillis)
+	if !h.requested.Add(model, version, since) {
 		return
 	}
 	entry := h.Log.Info().Str("part", "weights").Str("model", model).Int64("version", version).Int64("rowVersion", row.Version).Bool("tableRead", tableRead)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -176,7 +176,7 @@
 // used. The lock must be held.
 func (g *Gateway) chooseWeights(now time.Time, req *placement.Request, w *work.Work) *attempt {
 	weights := g.weightsOf(w.Model)
-	requested, steady := g.Requests.Of(w.Model), g.Steady.Now()
+	requested, steady := g.Requested.Of(w.Model), g.Steady.Now()
 	var best, refused *attempt
 	for _, version := range weights.loaded {
 		if !g.allowed(steady, &requested, version) {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -199,7 +199,7 @@
 	cfg.Host, cfg.FailureDomain = "h", "north"
 	f.Gateway = &gateway.Gateway{
 		Host: "h", FailureDomain: "north", Config: cfg, Clock: clock.System{}, Steady: clock.System{}, Targets: f.targets,
-		Fleet: view, Ledger: f.ledger, Requests: &rollout.Requests{}, Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Fleet: view, Ledger: f.ledger, Requested: &rollout.RequestedVersions{}, Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		Metrics: metrics.NewRegistry(),
 	}
 	f.Init()
@@ -225,7 +225,7 @@
 }
 
 // requestVersion records that operators request a version of the weights now.
-func (f *fixture) requestVersion(version int64) { f.Requests.Add(letter, version, f.Steady.Now()) }
+func (f *fixture) requestVersion(version int64) { f.Requested.Add(letter, version, f.Steady.Now()) }
 
 func (f *fixture) serve(item *work.Work) *fakeSink {
 	s := &fakeSink{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,7 +45,7 @@
 	Ledger  LedgerWriter
 	Freer   PartFreer
 	// Requests contains the weight versions that operators request.
-	Requests *rollout.Requests
+	Requested *rollout.RequestedVersions
 	// HostCount returns the number of live entry hosts. If it is nil, few hosts are
 	// assumed.
 	HostCount func() int
--- a/internal/gateway/obsolete.go
+++ b/internal/gateway/obsolete.go
@@ -55,7 +55,7 @@
 		return false
 	}
 	w := g.weights[model]
-	if w == nil || version >= g.Requests.Of(model).Version || len(w.loaded) == 0 {
+	if w == nil || version >= g.Requested.Of(model).Version || len(w.loaded) == 0 {
 		return false
 	}
 	if w.loaded[len(w.loaded)-1] <= version {
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -264,11 +264,11 @@
 // replaced long ago.
 func TestWeightsReplacedAtUnknownTimeAreNotUsed(t *testing.T) {
 	f := newFixture(t, stream(1, 2, io.EOF))
-	f.Requests.Add(letter, 2, time.Time{})
+	f.Requested.Add(letter, 2, time.Time{})
 	if s := f.serve(request(routing.Stream, 1)); s.refused == nil || !s.refused.NotRun {
 		t.Errorf("got %+v, want a refusal", s)
 	}
-	f.Requests.Add(letter, 2, f.Steady.Now())
+	f.Requested.SetSince(letter, 2, f.Steady.Now())
 	if s := f.serve(request(routing.Stream, 1)); s.body != "12" {
 		t.Errorf("after the time is known: got %+v, want an answer", s)
 	}
--- a/internal/gateway/stores_test.go
+++ b/internal/gateway/stores_test.go
@@ -46,7 +46,7 @@
 	view.Put(fleet.Target{ID: "e1", Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 1}})
 	cfg := config.DefaultRouted()
 	g := &Gateway{
-		Host: "h", FailureDomain: "north", Config: cfg, Clock: c, Steady: c, Fleet: view, Requests: &rollout.Requests{}, Metrics: metrics.NewRegistry(),
+		Host: "h", FailureDomain: "north", Config: cfg, Clock: c, Steady: c, Fleet: view, Requested: &rollout.RequestedVersions{}, Metrics: metrics.NewRegistry(),
 		Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 	}
 	g.Init()
@@ -182,7 +182,7 @@
 	g, s, c := newStoreGateway(t)
 	freer := &fakeFreer{}
 	g.Freer = freer
-	g.Requests.Add("m", 2, g.Steady.Now())
+	g.Requested.Add("m", 2, g.Steady.Now())
 	g.Fleet.Put(fleet.Target{ID: "e1", Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 2}})
 	g.TargetsChanged()
 	c.now = c.now.Add(obsoleteAfter)
@@ -203,7 +203,7 @@
 	freer := &fakeFreer{err: errors.New("lost")}
 	g.Freer = freer
 	g.applyStoreEvents("s", s, newEvents(7, 5000, storedEvent(sharedNamespace)), g.Steady.Now())
-	g.Requests.Add("m", 2, g.Steady.Now())
+	g.Requested.Add("m", 2, g.Steady.Now())
 	steps := []struct {
 		change func()
 		want   bool
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -124,7 +124,7 @@
 // that operators request or a newer one.
 func (g *Gateway) upToDate(t fleet.Target) bool {
 	for model, version := range t.Versions {
-		if version < g.Requests.Of(model).Version {
+		if version < g.Requested.Of(model).Version {
 			return false
 		}
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -71,8 +71,8 @@
 func (c *Client) Era() int64 { return c.era.Load() }
 
 // ServiceTime returns the time of Steady at which the clock of the table service showed
-// millis in an era. It is late by the time that an answer takes to arrive. It returns false
-// if this isn't the present era, or if the clock of the service isn't known.
+// millis in an era, or an earlier one by at most the duration of a call. It returns the zero
+// time and false if this isn't the present era, or if the clock of the service isn't known.
 func (c *Client) ServiceTime(era, millis int64) (time.Time, bool) {
 	return c.serviceClock.timeAt(era, millis)
 }
@@ -245,6 +245,10 @@
 	c.readCount.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	var sentAt time.Time
+	if c.Steady != nil {
+		sentAt = c.Steady.Now()
+	}
 	response, err := c.send(ctx, call.Method, c.TableURL+call.Path, call.Body)
 	if err != nil {
 		c.tableDone(false)
@@ -260,7 +264,7 @@
 	page, err := c.codec().DecodePage(response.StatusCode, body)
 	c.tableDone(err == nil || errors.Is(err, ErrHistoryGone))
 	if c.Steady != nil {
-		c.serviceClock.observe(c.Steady.Now(), era, page.Clock)
+		c.serviceClock.observe(sentAt, era, page.ClockMillis)
 	}
 	page.Era = era
 	for i := range page.Rows {
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -28,6 +28,10 @@
 	// relayDelay is how long peers must have had newer rows before one is asked for
 	// them. The service usually sends a change to all hosts at about the same time.
 	relayDelay = 200 * time.Millisecond
+	// minOutage and minOutageFailures are the time and the failed calls in a row after which
+	// the service was unavailable. Fewer failures may also follow a suspension of this host.
+	minOutage         = time.Second
+	minOutageFailures = 3
 	// maxTombstones is the number of removed rows, which are held for peers, above which
 	// old ones are dropped.
 	maxTombstones = 1000
@@ -84,9 +88,10 @@
 	newest Position
 	// after is the position from which the feed continues. Its era is that of the copy.
 	after Position
-	// clock is the clock of the service, in milliseconds, at the last answer of which this
-	// copy has all rows. It is 0 if no such answer is known.
-	clock int64
+	// completeMillis is the clock of the service at the last answer of which this copy has
+	// all rows, or at the last failed call of an outage after it. It is 0 if no answer is
+	// known.
+	completeMillis int64
 	// loaded is set once the complete table has been applied.
 	loaded      bool
 	unavailable bool
@@ -94,6 +99,10 @@
 	answeredAt time.Time
 	// probes counts the calls since the service became unavailable.
 	probes int
+	// failures counts the failed calls since the last answer, between failedAt and
+	// lastFailedAt.
+	failures               int
+	failedAt, lastFailedAt time.Time
 	// aheadSince is when a peer began to report newer rows. It is zero if no peer does.
 	aheadSince time.Time
 }
@@ -180,14 +189,14 @@
 	var changed []Row
 	for _, row := range page.Rows {
 		// Rows of a peer may have a later time.
-		row.WrittenAfter = max(row.WrittenAfter, f.clock)
+		row.WrittenAfterMillis = max(row.WrittenAfterMillis, f.completeMillis)
 		if f.put(row) {
 			changed = append(changed, row)
 		}
 	}
 	f.after.Version = max(f.after.Version, page.Version)
 	if !page.More {
-		f.clock = max(f.clock, page.Clock)
+		f.completeMillis = max(f.completeMillis, page.ClockMillis)
 	}
 	if len(changed) > 0 {
 		f.Apply(changed, false)
@@ -237,7 +246,7 @@
 func (f *Follower) load(ctx context.Context) error {
 	var rows []Row
 	var start Position
-	var startClock int64
+	var startMillis int64
 	scan := Scan{Table: f.Table, Limit: followPage}
 	for first := true; ; first = false {
 		page, err := f.Client.Page(ctx, scan)
@@ -245,7 +254,7 @@
 			return err
 		}
 		if first {
-			start, startClock = Position{Era: page.Era, Version: page.Version}, page.Clock
+			start, startMillis = Position{Era: page.Era, Version: page.Version}, page.ClockMillis
 		}
 		if page.Era != start.Era {
 			return fmt.Errorf("%w: restored from an older copy while table %s was read", ErrUnavailable, f.Table)
@@ -257,14 +266,14 @@
 		scan.After = page.Rows[len(page.Rows)-1].Key
 	}
 	f.answered()
-	f.applyAll(rows, start, startClock)
+	f.applyAll(rows, start, startMillis)
 	return nil
 }
 
 // applyAll applies the complete table as read at a position, when the clock of the service
-// showed clock, 0 if that isn't known. If the copy is later, since a peer has sent later
+// showed millis, 0 if that isn't known. If the copy is later, since a peer has sent later
 // changes meanwhile, it is kept.
-func (f *Follower) applyAll(rows []Row, at Position, clock int64) {
+func (f *Follower) applyAll(rows []Row, at Position, millis int64) {
 	f.mu.Lock()
 	restored := f.loaded && at.Era > f.after.Era
 	f.mu.Unlock()
@@ -279,16 +288,16 @@
 		f.loaded = true
 		return
 	}
-	before, readBefore := f.rows, f.clock
+	before, completeBefore := f.rows, f.completeMillis
 	if at.Era != f.after.Era {
-		readBefore = 0 // A service that was restored may have another clock.
+		completeBefore = 0 // A service that was restored may have another clock.
 	}
-	f.rows, f.removed, f.newest, f.clock = map[string]Row{}, 0, Position{Era: at.Era}, clock
+	f.rows, f.removed, f.newest, f.completeMillis = map[string]Row{}, 0, Position{Era: at.Era}, millis
 	listed := make([]Row, 0, len(rows))
 	for _, row := range rows {
-		row.WrittenAfter = max(row.WrittenAfter, readBefore)
+		row.WrittenAfterMillis = max(row.WrittenAfterMillis, completeBefore)
 		if known, ok := before[row.Key]; ok && known.Position() == row.Position() {
-			row.WrittenAfter = known.WrittenAfter
+			row.WrittenAfterMillis = known.WrittenAfterMillis
 		}
 		f.put(row)
 		if !row.Removed {
@@ -372,6 +381,10 @@
 	f.mu.Lock()
 	wasUnavailable := f.unavailable
 	f.unavailable, f.probes = false, 0
+	if f.completeMillis > 0 && f.failures >= minOutageFailures && f.lastFailedAt.Sub(f.failedAt) >= minOutage {
+		f.completeMillis += f.lastFailedAt.Sub(f.answeredAt).Milliseconds()
+	}
+	f.failures = 0
 	f.answeredAt = f.Clock.Now()
 	f.mu.Unlock()
 	if !wasUnavailable {
@@ -389,6 +402,11 @@
 	f.mu.Lock()
 	wasUnavailable := f.unavailable
 	f.unavailable = true
+	f.lastFailedAt = f.Clock.Now()
+	if f.failures == 0 {
+		f.failedAt = f.lastFailedAt
+	}
+	f.failures++
 	f.mu.Unlock()
 	if wasUnavailable {
 		return
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -71,7 +71,7 @@
 		return platform.Page{}, errUnavailable
 	}
 	f.loads++
-	page := platform.Page{Version: f.version, Era: f.era, Clock: time.Now().UnixMilli()}
+	page := platform.Page{Version: f.version, Era: f.era, ClockMillis: time.Now().UnixMilli()}
 	for _, row := range f.rows {
 		if !row.Removed {
 			row.Era = f.era
@@ -94,7 +94,7 @@
 		return platform.Page{Era: f.era}, platform.ErrHistoryGone
 	}
 	page := f.since(after)
-	page.Clock = time.Now().UnixMilli()
+	page.ClockMillis = time.Now().UnixMilli()
 	return page, nil
 }
 
@@ -138,7 +138,7 @@
 type tableCopy struct {
 	mu   sync.Mutex
 	rows map[string]string
-	// writtenAfter contains Row.WrittenAfter of each row.
+	// writtenAfter contains Row.WrittenAfterMillis of each row.
 	writtenAfter map[string]int64
 }
 
@@ -149,7 +149,7 @@
 		c.rows, c.writtenAfter = map[string]string{}, map[string]int64{}
 	}
 	for _, row := range rows {
-		c.writtenAfter[row.Key] = row.WrittenAfter
+		c.writtenAfter[row.Key] = row.WrittenAfterMillis
 		if row.Removed {
 			delete(c.rows, row.Key)
 			continue
@@ -390,9 +390,9 @@
 	})
 }
 
-// Row.WrittenAfter is never later than the write of the row, and is known for all rows that
-// are written after the first read, also if they come late, through a peer, or with a second
-// read of the table. It is unknown after the first read and after a restore.
+// Row.WrittenAfterMillis is never later than the write of the row, and is known for all rows
+// that are written after the first read, also if they come late, through a peer, or with a
+// second read of the table. It is unknown after the first read and after a restore.
 func TestFollowerBoundsTimesOfWrites(t *testing.T) {
 	follow(t, true, func(f *fakeFeed, c *tableCopy) {
 		check := func(what, key string, writtenAt time.Time, slack time.Duration) {
@@ -441,3 +441,32 @@
 		unknown("restored service", "e")
 	})
 }
+
+// A row that is read first after an outage counts as written during the outage, as nobody
+// knows when. A host that was only suspended knows no outage.
+func TestRowAfterOutageIsNotAsOldAsTheLastAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		outage, want time.Duration
+	}{
+		"outage":         {6 * time.Second, time.Second},
+		"single failure": {100 * time.Millisecond, 500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			follow(t, false, func(f *fakeFeed, c *tableCopy) {
+				f.set(func() { f.unavailable = true })
+				began := time.Now()
+				time.Sleep(test.outage)
+				f.put("b", "1")
+				f.set(func() { f.unavailable = false })
+				back := time.Now()
+				time.Sleep(time.Second)
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				got := back.Sub(time.UnixMilli(c.writtenAfter["b"]))
+				if got > test.want || got < 0 {
+					t.Errorf("the row counts as written %s before the return of the service, want at most %s; the outage took %s", got, test.want, back.Sub(began))
+				}
+			})
+		})
+	}
+}
--- a/internal/platform/row.go
+++ b/internal/platform/row.go
@@ -20,10 +20,11 @@
 	Era int64 `json:"era,omitempty"`
 	// Removed is set in a feed for a row that no longer exists.
 	Removed bool `json:"removed,omitempty"`
-	// WrittenAfter is a time on the clock of the service in this era, in milliseconds. The
-	// row was written after it. It is 0 if no such time is known, as for the rows that a
-	// Follower reads first. A Follower sets it, see Client.ServiceTime.
-	WrittenAfter int64 `json:"writtenAfter,omitempty"`
+	// WrittenAfterMillis is a time on the clock of the service in this era, see
+	// Client.ServiceTime. The row was written after it, or while the service was unavailable
+	// to the host that read it. It is 0 if no such time is known, as for the rows that a
+	// Follower reads first. A Follower sets it.
+	WrittenAfterMillis int64 `json:"writtenAfterMillis,omitempty"`
 }
 
 // Position returns the position of the row in the history of its table.
@@ -52,9 +53,9 @@
 	Version int64
 	// Era is the era of the service, see Position.
 	Era int64
-	// Clock is the steady clock of the service in milliseconds when it answered, 0 if the
-	// answer doesn't state it.
-	Clock int64
+	// ClockMillis is the steady clock of the service when it answered, 0 if the answer
+	// doesn't state it.
+	ClockMillis int64
 	// Whole reports that Rows is the complete table. It is set by peers only.
 	Whole bool
 	// More reports that further rows follow this page.
--- a/internal/platform/serviceclock.go
+++ b/internal/platform/serviceclock.go
@@ -7,29 +7,30 @@
 
 // maxClockDrift limits the difference between the rates of the clocks of this host and the
 // service, in seconds per second.
-const maxClockDrift = 1e-3
+const maxClockDrift = 2e-4
 
 // serviceClock relates the steady clock of the table service to that of this host. Of the
-// answers of an era it uses the one that took the shortest time to arrive.
+// answers of an era it uses the one that took the shortest time, and takes it to have been
+// given when its call was sent. So a time of the service is never converted to a later one.
 type serviceClock struct {
 	mu     sync.Mutex
 	era    int64
 	millis int64
-	// receivedAt is when the answer that stated millis was received, zero if there is none.
-	receivedAt time.Time
+	// sentAt is when the call was sent whose answer stated millis, zero if there is none.
+	sentAt time.Time
 }
 
-// observe records that an answer received at now stated the clock of the service.
-func (c *serviceClock) observe(now time.Time, era, millis int64) {
+// observe records that the answer to a call sent at sentAt stated the clock of the service.
+func (c *serviceClock) observe(sentAt time.Time, era, millis int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if millis <= 0 || era < c.era {
 		return
 	}
-	elapsed := now.Sub(c.receivedAt)
-	expected := c.millis + int64((1-maxClockDrift)*float64(elapsed.Milliseconds()))
-	if c.receivedAt.IsZero() || era > c.era || millis >= expected {
-		c.era, c.millis, c.receivedAt = era, millis, now
+	elapsed := sentAt.Sub(c.sentAt)
+	expected := c.millis + int64((1+maxClockDrift)*float64(elapsed.Milliseconds()))
+	if c.sentAt.IsZero() || era > c.era || millis <= expected {
+		c.era, c.millis, c.sentAt = era, millis, sentAt
 	}
 }
 
@@ -38,10 +39,10 @@
 func (c *serviceClock) timeAt(era, millis int64) (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if millis <= 0 || era != c.era || c.receivedAt.IsZero() {
+	if millis <= 0 || era != c.era || c.sentAt.IsZero() {
 		return time.Time{}, false
 	}
-	return c.receivedAt.Add(time.Duration(millis-c.millis) * time.Millisecond), true
+	return c.sentAt.Add(time.Duration(millis-c.millis) * time.Millisecond), true
 }
 
 // millisAt returns what the clock of the service shows at a time of this host, and the
@@ -49,8 +50,8 @@
 func (c *serviceClock) millisAt(t time.Time) (era, millis int64, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.receivedAt.IsZero() {
+	if c.sentAt.IsZero() {
 		return 0, 0, false
 	}
-	return c.era, c.millis + t.Sub(c.receivedAt).Milliseconds(), true
+	return c.era, c.millis + t.Sub(c.sentAt).Milliseconds(), true
 }
--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -41,10 +41,6 @@
 	CommitVersion(ctx context.Context, tx platform.Transaction) (int64, error)
 	// Era returns the era of the table service, see platform.Position.
 	Era() int64
-	// ServiceTime and ServiceMillis convert times of the table service, see
-	// platform.Client.
-	ServiceTime(era, millis int64) (time.Time, bool)
-	ServiceMillis(t time.Time) (era, millis int64, ok bool)
 }
 
 // TargetClient reads the state of targets and sends them swap orders.
@@ -88,9 +84,9 @@
 	// Steady is a monotonic clock that also runs while the host is suspended.
 	Steady clock.Clock
 	Log    *log.Logger
-	// Requests contains the versions that operators request.
-	Requests *Requests
-	Plan     Plan
+	// Requested contains the versions that operators request.
+	Requested *RequestedVersions
+	Plan      Plan
 	// Rank is in [0, 1). Hosts with a lower rank take over a free lease sooner.
 	Rank float64
 	// OnSwapping is called with the ids of the targets that receive no requests
@@ -102,10 +98,6 @@
 	Lease   lease.State
 
 	mu sync.Mutex
-	// requestRow is the row of requested weights as last read or written, once the table
-	// has been read.
-	requestRow      requestRow
-	requestRowKnown bool
 	// wantedSince is when this host began to need the lease; zero if it does not.
 	wantedSince time.Time
 	// published is the record last passed to OnSwapping.
@@ -119,18 +111,9 @@
 	defer l.mu.Unlock()
 	now := l.Steady.Now()
 	found := false
-	if full {
-		l.requestRow = requestRow{}
-	}
 	for _, row := range rows {
 		l.enterEra(now, row.Era)
-		if row.Removed || row.Era < l.Lease.Era() {
-			continue
-		}
-		if row.Key == requestsKey {
-			l.applyRequestRow(row)
-		}
-		if row.Key != leaseKey {
+		if row.Key != leaseKey || row.Removed || row.Era < l.Lease.Era() {
 			continue
 		}
 		found = true
@@ -141,9 +124,6 @@
 		}
 		l.observe(now, r, row.Version)
 	}
-	if full {
-		l.requestRowKnown = true
-	}
 	if full && !found {
 		l.Lease.Observe(now, lease.Record{}, 0)
 	}
@@ -157,7 +137,6 @@
 	}
 	l.Lease.EnterEra(now, era)
 	l.Plan.Forget()
-	l.requestRow, l.requestRowKnown = requestRow{}, false
 	l.Log.Warn().Str("part", "rollout").Int64("era", era).Int64("before", before).Int64("fence", l.Lease.FencingToken()).
 		Msg("rollout: table service restored from an older copy, leases written before are void")
 }
@@ -192,12 +171,19 @@
 	return nil
 }
 
+// HoldsLease reports whether this host holds the lease.
+func (l *Leader) HoldsLease() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.Lease.Holds(l.Steady.Now(), 0)
+}
+
 func (l *Leader) check(ctx context.Context) {
 	obsolete := l.Cleaner != nil && l.Cleaner.HasObsoleteParts()
 	l.mu.Lock()
 	l.enterEra(l.Steady.Now(), l.Table.Era())
 	targets := l.Fleet.Targets()
-	requested := l.Requests.All()
+	requested := l.Requested.All()
 	due := anyOutdated(targets, requested) || obsolete
 	now := l.Steady.Now()
 	if !due && l.Plan.Idle() && !l.rowOutdated() {
@@ -262,16 +248,12 @@
 }
 
 // rowOutdated reports whether this host wrote the lease row and the row differs from
-// its plan, for example after a failed write, or the row of requested weights is due. The
-// lock must be held.
+// its plan, for example after a failed write. The lock must be held.
 func (l *Leader) rowOutdated() bool {
 	r := l.Lease.Record()
 	if r.Holder != l.Host {
 		return false
 	}
-	if _, due := l.dueRequestRow(); due {
-		return true
-	}
 	closed, draining := l.Plan.Swapping()
 	return !slices.Equal(r.Busy, closed) || !slices.Equal(r.Pending, draining)
 }
@@ -286,24 +268,23 @@
 }
 
 // writeLease writes the lease row with this host as holder. The closed targets are
-// the busy items of the row, the draining ones its pending items. The row of requested
-// weights is written with it if it is due. writeLease reports whether it wrote.
+// the busy items of the row, the draining ones its pending items. It reports whether
+// the row was written.
 func (l *Leader) writeLease(ctx context.Context) bool {
 	l.mu.Lock()
 	r, version := l.Lease.Next(l.Plan.Swapping())
 	before, era := l.Lease.FencingToken(), l.Lease.Era()
-	requests, writeRequests := l.dueRequestRow()
 	l.mu.Unlock()
-	tx, err := leaseTransaction(r, version)
-	if err == nil && writeRequests {
-		err = addWrite(&tx, requestsKey, requests)
-	}
+	value, err := json.Marshal(r)
 	if err != nil {
 		l.Log.Error().Str("part", "rollout").Err(err).Msg("rollout: encoding the lease row failed")
 		return false
 	}
 	startedAt := l.Steady.Now()
-	written, err := l.Table.CommitVersion(ctx, tx)
+	written, err := l.Table.CommitVersion(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Table: platform.SharedTable, Key: leaseKey, Version: version}},
+		Writes:     []platform.Write{{Table: platform.SharedTable, Key: leaseKey, Value: value}},
+	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -319,9 +300,6 @@
 		return false
 	}
 	l.Lease.Renewed(startedAt, r, written)
-	if writeRequests {
-		l.requestRow = requests
-	}
 	if r.FencingToken != before {
 		l.Log.Info().Str("part", "rollout").Int64("fence", r.FencingToken).Int64("rowVersion", written).
 			Msg("rollout: this host now holds the lease")
@@ -330,20 +308,6 @@
 	return true
 }
 
-// leaseTransaction returns the write of the lease row on the condition that the row has a
-// version.
-func leaseTransaction(r lease.Record, version int64) (platform.Transaction, error) {
-	tx := platform.Transaction{Conditions: []platform.Condition{{Table: platform.SharedTable, Key: leaseKey, Version: version}}}
-	return tx, addWrite(&tx, leaseKey, r)
-}
-
-// addWrite adds the write of a row of the shared table to a transaction.
-func addWrite(tx *platform.Transaction, key string, value any) error {
-	data, err := json.Marshal(value)
-	tx.Writes = append(tx.Writes, platform.Write{Table: platform.SharedTable, Key: key, Value: data})
-	return err
-}
-
 // rereadLease reads the row if its content is unknown, for example after a failed
 // write.
 func (l *Leader) rereadLease(ctx context.Context) {
--- a/internal/rollout/leader_test.go
+++ b/internal/rollout/leader_test.go
@@ -12,7 +12,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"github.com/phuslu/log"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
@@ -32,9 +31,6 @@
 	mu      sync.Mutex
 	value   []byte
 	version int64
-	// requests is the row of requested weights, and requestWrites the number of its writes.
-	requests      []byte
-	requestWrites int
 	// cutOff contains the hosts that can't reach the service. The answers to the next
 	// lostAnswers writes are lost, but the writes take effect.
 	cutOff      map[string]bool
@@ -49,12 +45,7 @@
 	change()
 }
 
-const (
-	leaseKey    = "lease/weights"
-	requestsKey = "weights/requested"
-)
-
-// tableClient is the table service as one host sees it. Its clock is the Unix time.
+// tableClient is the table service as one host sees it.
 type tableClient struct {
 	row  *leaseRow
 	host string
@@ -69,21 +60,13 @@
 	return t.row.era
 }
 
-func (t tableClient) ServiceTime(era, millis int64) (time.Time, bool) {
-	return time.UnixMilli(millis), era == t.Era()
-}
-
-func (t tableClient) ServiceMillis(at time.Time) (era, millis int64, ok bool) {
-	return t.Era(), at.UnixMilli(), true
-}
-
 func (t tableClient) Get(context.Context, string, string) (platform.Row, bool, error) {
 	t.row.mu.Lock()
 	defer t.row.mu.Unlock()
 	if t.row.cutOff[t.host] {
 		return platform.Row{}, false, platform.ErrUnavailable
 	}
-	return platform.Row{Key: leaseKey, Version: t.row.version, Value: t.row.value, Era: t.row.era}, t.row.version > 0, nil
+	return platform.Row{Key: "lease/weights", Version: t.row.version, Value: t.row.value, Era: t.row.era}, t.row.version > 0, nil
 }
 
 func (t tableClient) CommitVersion(_ context.Context, tx platform.Transaction) (int64, error) {
@@ -96,15 +79,7 @@
 		return 0, &platform.ConflictError{Current: t.row.version}
 	}
 	t.row.version++
-	for _, write := range tx.Writes {
-		switch write.Key {
-		case leaseKey:
-			t.row.value = write.Value
-		case requestsKey:
-			t.row.requests = write.Value
-			t.row.requestWrites++
-		}
-	}
+	t.row.value = tx.Writes[0].Value
 	if t.row.lostAnswers > 0 {
 		t.row.lostAnswers--
 		return 0, platform.ErrUnknownOutcome
@@ -192,11 +167,11 @@
 }
 
 // runLeaders runs the leaders of three hosts over one lease row until scenario
-// returns.
+// returns. They share a steadyClock.
 func runLeaders(t *testing.T, scenario func(row *leaseRow, e *fakeEngines, leaders map[string]*rollout.Leader)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		row := &leaseRow{cutOff: map[string]bool{}}
+		row, steady := &leaseRow{cutOff: map[string]bool{}}, &steadyClock{}
 		e := &fakeEngines{versions: map[string]int64{}, orders: map[string]int64{}}
 		leaders := map[string]*rollout.Leader{}
 		ctx, end := context.WithCancel(context.Background())
@@ -210,8 +185,8 @@
 			}
 			e.views = append(e.views, view)
 			leaders[name] = &rollout.Leader{
-				Host: name, Table: tableClient{row, name}, Fleet: view, Targets: e, Clock: clock.System{}, Steady: clock.System{},
-				Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Requests: &rollout.Requests{}, Plan: *newPlan(), Rank: float64(i) / 3,
+				Host: name, Table: tableClient{row, name}, Fleet: view, Targets: e, Clock: clock.System{}, Steady: steady,
+				Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Requested: &rollout.RequestedVersions{}, Plan: *newPlan(), Rank: float64(i) / 3,
 				OnSwapping: func(_, _ []string) {},
 				Lease:      lease.State{Host: name, Incarnation: 1, TTL: testTTL, QuietPeriod: testQuietPeriod},
 			}
@@ -234,7 +209,7 @@
 // deliverRow passes the lease row to a leader, as the feed of the shared table does.
 func deliverRow(row *leaseRow, host string, l *rollout.Leader) {
 	row.mu.Lock()
-	update := platform.Row{Key: leaseKey, Version: row.version, Value: row.value, Era: row.era}
+	update := platform.Row{Key: "lease/weights", Version: row.version, Value: row.value, Era: row.era}
 	other := platform.Row{Key: "host/a", Version: 1, Era: row.era}
 	cutOff := row.cutOff[host]
 	row.mu.Unlock()
@@ -249,7 +224,7 @@
 
 func requestVersion(leaders map[string]*rollout.Leader, version int64) {
 	for _, l := range leaders {
-		l.Requests.Add("m", version, l.Steady.Now())
+		l.Requested.Add("m", version, l.Steady.Now())
 	}
 }
 
@@ -331,38 +306,6 @@
 	})
 }
 
-// A host that starts learns from the shared table since when versions are requested, also
-// if the host that received the requests is gone and the rows of operators name the newest
-// version only.
-func TestTimesOfRequestsOutliveHosts(t *testing.T) {
-	runLeaders(t, func(row *leaseRow, e *fakeEngines, leaders map[string]*rollout.Leader) {
-		e.refuse.Store(true)
-		begin := time.Now()
-		requestVersion(leaders, 2)
-		time.Sleep(time.Second)
-		requestVersion(leaders, 3)
-		time.Sleep(3 * time.Second)
-		started := &rollout.Leader{
-			Host: "d", Table: tableClient{row, "d"}, Steady: clock.System{}, Requests: &rollout.Requests{}, Log: leaders["a"].Log,
-			OnSwapping: func(_, _ []string) {}, Lease: lease.State{Host: "d", Incarnation: 1},
-		}
-		started.Requests.Add("m", 3, time.Time{})
-		row.mu.Lock()
-		rows := []platform.Row{{Key: leaseKey, Version: row.version, Value: row.value}, {Key: requestsKey, Version: row.version, Value: row.requests}}
-		writes := row.requestWrites
-		row.mu.Unlock()
-		started.ApplyRows(rows, true)
-		requested := started.Requests.Of("m")
-		got := []time.Duration{requested.OutdatedSince(1).Sub(begin), requested.OutdatedSince(2).Sub(begin)}
-		if diff := cmp.Diff([]time.Duration{0, time.Second}, got); diff != "" {
-			t.Errorf("times of the requests (-want +got):\n%s", diff)
-		}
-		if writes != 2 {
-			t.Errorf("the row of requested weights was written %d times, want 2 for 2 versions", writes)
-		}
-	})
-}
-
 // steadyClock is the clock of a host that was suspended for some time, which its system
 // clock doesn't count.
 type steadyClock struct {
@@ -376,14 +319,10 @@
 // once as the remaining time requires.
 func TestSuspensionCountsTowardsTimeLimitOfSwaps(t *testing.T) {
 	runLeaders(t, func(row *leaseRow, e *fakeEngines, leaders map[string]*rollout.Leader) {
-		steady := &steadyClock{}
-		for _, l := range leaders {
-			l.Steady = steady
-		}
 		e.refuse.Store(true)
 		requestVersion(leaders, 2)
 		time.Sleep(time.Second)
-		steady.suspended.Store(int64(newPlan().TimeLimit))
+		leaders["a"].Steady.(*steadyClock).suspended.Store(int64(newPlan().TimeLimit))
 		time.Sleep(time.Second)
 		row.mu.Lock()
 		defer row.mu.Unlock()
