Count the expected wait on a target towards the time limit of replaced weights

Callers could see: a request that is sent to a target with replaced weights in time waits there and begins after the time limit. Change: a target with replaced weights is only chosen if the request is expected to begin half of the margin before the limit. Result: TestExpectedWaitCountsTowardsUseOfOlderWeights fails before (placed 1 s before the limit with a wait of 2 s) and passes.

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -188,6 +188,16 @@
 	Margin Duration `json:"margin"`
 }
 
+// beginMarginShare is the share of Margin that remains for requests that wait on a target
+// longer than expected.
+const beginMarginShare = 0.5
+
+// LatestBegin returns the time after a request for a weight version at which requests may
+// begin on older weights at the latest.
+func (r *Rollout) LatestBegin() time.Duration {
+	return r.TimeLimit.Duration - time.Duration(beginMarginShare*float64(r.Margin.Duration))
+}
+
 // DefaultRouted returns the default settings.
 func DefaultRouted() Routed {
 	base := Default()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -170,8 +170,8 @@
 
 // chooseWeights chooses the newest weights with a target that is expected to
 // answer within newVersionGoalShare of the goal. If there is none, it chooses the
-// fastest target whose weights are still allowed, so that a swap doesn't overload
-// the first targets that have finished it. If no target can be used, it returns
+// fastest target whose weights are still allowed when it begins, so that a swap doesn't
+// overload the first targets that have finished it. If no target can be used, it returns
 // the last attempt, whose decision names none, or nil if no loaded version may be
 // used. The lock must be held.
 func (g *Gateway) chooseWeights(now time.Time, req *placement.Request, w *work.Work) *attempt {
@@ -190,6 +190,10 @@
 			refused = at
 			continue
 		}
+		expectedFirst := time.Duration(at.decision.Chosen.FirstToken() * float64(time.Second))
+		if version < requested.Version && at.outdatedFor+expectedFirst > g.Config.Rollout.LatestBegin() {
+			continue
+		}
 		if best == nil || at.decision.Chosen.Total() < best.decision.Chosen.Total() {
 			best = at
 		}
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -93,3 +93,29 @@
 		t.Errorf("fetched from %v, want nothing, as only the target itself has the part", at.fetch)
 	}
 }
+
+// A request that would begin on replaced weights after their time limit, since it has to wait
+// on the target, must not be sent there.
+func TestExpectedWaitCountsTowardsUseOfOlderWeights(t *testing.T) {
+	for name, test := range map[string]struct {
+		left   time.Duration
+		placed bool
+	}{
+		"begins in time": {3 * time.Second, true},
+		"begins late":    {time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, _, c := newStoreGateway(t)
+			g.TargetsChanged()
+			cfg := g.Config.Rollout
+			g.Requested.Add("m", 2, c.now.Add(test.left-cfg.TimeLimit.Duration+cfg.Margin.Duration))
+			g.placer.SetPeerLoad(c.now, "e1", placement.TargetLoad{Requests: 4, PrefillTokens: 2 * g.Config.PrefillTokensPerSecond})
+			w := storeWork("w1")
+			req := g.placementRequest(w)
+			at, _ := g.choose(&req, w)
+			if placed := at != nil; placed != test.placed {
+				t.Errorf("%s before the limit, with a wait of 2 s: placed %t, want %t", test.left, placed, test.placed)
+			}
+		})
+	}
+}
