Measure the age of the last contact with the table service on a steady clock

Callers could see, on `serve`: a host that is cut off from the table service and whose time of day goes back admits requests by records that are no longer up to date, for as much longer as the step. Cause: the last contact was kept as Unix time and compared with the time of day. Change: it is a time of the clock that is monotonic and runs during a suspension.

--- a/commands/dev.go
+++ b/commands/dev.go
@@ -49,6 +49,7 @@
 	host := &entry.Host{
 		Config: cfg,
 		Clock:  clock.System{},
+		Steady: clock.Boot{},
 		Log:    newLogger(cfg.LogLevel, cmd.Root().ErrWriter),
 		OnServing: func(_, operators net.Addr) {
 			_, _ = fmt.Fprintf(cmd.Root().ErrWriter, "operators http://%s\n", operators)
--- a/commands/serve.go
+++ b/commands/serve.go
@@ -34,6 +34,7 @@
 			host := &entry.Host{
 				Config: cfg,
 				Clock:  clock.System{},
+				Steady: clock.Boot{},
 				Log:    newLogger(cfg.LogLevel, cmd.Root().ErrWriter),
 				OnReady: func(callers net.Addr) {
 					_, _ = fmt.Fprintf(cmd.Root().Writer, "ready http://%s\n", callers)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -47,6 +47,8 @@
 type Host struct {
 	Config config.Config
 	Clock  clock.Clock
+	// Steady is a monotonic clock that also runs while the host is suspended.
+	Steady clock.Clock
 	Log    *log.Logger
 	// OnServing is called once with the addresses of the listeners. It may be nil.
 	OnServing func(callers, operators net.Addr)
@@ -184,7 +186,7 @@
 	}
 	h.buildGroup(incarnation, peerAddress)
 	h.follower = &recordstore.Follower{
-		Table: h.platform, Objects: h.platform, Peers: h.group, Clock: h.Clock, Log: h.Log,
+		Table: h.platform, Objects: h.platform, Peers: h.group, Clock: h.Clock, Steady: h.Steady, Log: h.Log,
 		Poll: cfg.Peers.RevisionPoll.Duration, CutOffAfter: cfg.Peers.CutOffAfter.Duration,
 	}
 	h.snapshots = &recordstore.Snapshotter{
--- a/internal/entry/host_test.go
+++ b/internal/entry/host_test.go
@@ -67,7 +67,7 @@
 	cfg.Placement.WarmUp, cfg.ShutdownDelay = config.DurationOf(0), config.DurationOf(0)
 	serving := make(chan [2]net.Addr, 1)
 	host := &entry.Host{
-		Config: cfg, Clock: clock.System{}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Config: cfg, Clock: clock.System{}, Steady: clock.Boot{}, Log: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		OnServing: func(callers, operators net.Addr) { serving <- [2]net.Addr{callers, operators} },
 	}
 	ctx, end := context.WithCancel(context.Background())
@@ -347,7 +347,7 @@
 	cfg.ShutdownDelay = config.DurationOf(0)
 	serving := make(chan net.Addr, 1)
 	host := &entry.Host{
-		Config: cfg, Clock: clock.System{}, Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		Config: cfg, Clock: clock.System{}, Steady: clock.Boot{}, Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
 		OnServing: func(callers, _ net.Addr) { serving <- callers },
 		OnReady:   func(net.Addr) { t.Error("the host reports ready without records") },
 	}
--- a/internal/recordstore/follower.go
+++ b/internal/recordstore/follower.go
@@ -53,7 +53,10 @@
 	Objects ObjectProvider
 	Peers   PeerProvider
 	Clock   clock.Clock
-	Log     *log.Logger
+	// Steady is a monotonic clock that also runs while the host is suspended. The age of
+	// the last contact is measured on it, since the time of day may go back.
+	Steady clock.Clock
+	Log    *log.Logger
 	// Poll is the time between two reads of the revision from the table service.
 	Poll time.Duration
 	// CutOffAfter is the age from which a contact with the table service no longer
@@ -62,9 +65,9 @@
 
 	current atomic.Pointer[record.Set]
 	loaded  atomic.Bool
-	// lastContact is the time of the last contact with the table service in Unix
-	// nanoseconds, zero if there was none.
-	lastContact atomic.Int64
+	// lastContact is the time of the last contact with the table service on Steady, nil if
+	// there was none.
+	lastContact atomic.Pointer[time.Time]
 	wake        chan struct{}
 	once        sync.Once
 
@@ -96,7 +99,7 @@
 	if !f.loaded.Load() {
 		return false
 	}
-	if f.Clock.Now().Sub(time.Unix(0, f.lastContact.Load())) < f.CutOffAfter {
+	if age, known := f.ContactAge(); known && age < f.CutOffAfter {
 		return true
 	}
 	if age, known := f.Peers.ContactAge(); known && age < f.CutOffAfter && f.Peers.HighestRevision() <= f.Current().Revision {
@@ -108,11 +111,11 @@
 // ContactAge returns the time since this host's last contact with the table service.
 // It returns false if there was none.
 func (f *Follower) ContactAge() (time.Duration, bool) {
-	nanos := f.lastContact.Load()
-	if nanos == 0 {
+	at := f.lastContact.Load()
+	if at == nil {
 		return 0, false
 	}
-	return f.Clock.Now().Sub(time.Unix(0, nanos)), true
+	return f.Steady.Now().Sub(*at), true
 }
 
 // Wake makes the follower check at once whether a peer has a higher revision.
@@ -236,7 +239,7 @@
 
 // Sync applies the changes in the table service at once.
 func (f *Follower) Sync(ctx context.Context) error {
-	at := f.Clock.Now()
+	at := f.Steady.Now()
 	if err := f.applyHistory(ctx); err != nil {
 		return err
 	}
@@ -245,7 +248,7 @@
 }
 
 func (f *Follower) readRevision(ctx context.Context) (int64, time.Time, error) {
-	at := f.Clock.Now()
+	at := f.Steady.Now()
 	row, found, err := f.Table.Get(ctx, tableConfig, keyRevision)
 	if err != nil || !found {
 		return 0, at, err
@@ -358,10 +361,9 @@
 }
 
 func (f *Follower) recordContact(at time.Time) {
-	nanos := at.UnixNano()
 	for {
 		known := f.lastContact.Load()
-		if known >= nanos || f.lastContact.CompareAndSwap(known, nanos) {
+		if (known != nil && !at.After(*known)) || f.lastContact.CompareAndSwap(known, &at) {
 			return
 		}
 	}
--- a/internal/recordstore/snapshotter_test.go
+++ b/internal/recordstore/snapshotter_test.go
@@ -95,7 +95,7 @@
 
 func newFollower(r *cluster, store memoryObjects) *recordstore.Follower {
 	return &recordstore.Follower{
-		Table: r.direct, Objects: store, Peers: noPeers{}, Clock: r.clock, Poll: time.Second, CutOffAfter: 8 * time.Second,
+		Table: r.direct, Objects: store, Peers: noPeers{}, Clock: r.clock, Steady: r.clock, Poll: time.Second, CutOffAfter: 8 * time.Second,
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 	}
 }
--- a/internal/recordstore/writer_test.go
+++ b/internal/recordstore/writer_test.go
@@ -47,7 +47,7 @@
 	faulty := &standin.DirectTable{Platform: platform, Next: next}
 	for range hosts {
 		f := &recordstore.Follower{
-			Table: faulty, Peers: noPeers{}, Clock: r.clock, Poll: time.Second, CutOffAfter: 8 * time.Second,
+			Table: faulty, Peers: noPeers{}, Clock: r.clock, Steady: r.clock, Poll: time.Second, CutOffAfter: 8 * time.Second,
 			Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
 		}
 		r.followers = append(r.followers, f)
