Count crashes of targets by prompt part, over all hosts

Cause: a crash counts against the fingerprint of the whole request. What crashes engines can be a part of the prompt that otherwise different requests share; each of them has a count of its own, which stays at one. Besides, a host takes over the count of a peer only if it is higher, so crashes that several hosts see at the same time count as one. The class: evidence is kept by an identity narrower than its cause, and isn't added up over hosts. Evidence: the 14 requests in the kept logs that ended so have one part in common, which no answered request has, and `crashes` is 1 in each. Ruled out: refused requests that come back (none was refused). Change: a crash is recorded, with its target, for the request and, until the second event of its answer, for the parts before its last, without account and weights. Hosts exchange these records: crashes of different targets add up, one target counts once. Answers clear them, and hosts tell each other of answers too. A request is checked before each attempt. The log names what is blamed, and by whom. Why it works: three crashes are enough, whoever sees them, and sound requests with the other parts are let through and show by their answers which part it is.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -10,6 +10,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/admission"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
 	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 )
 
 // refreshInterval is the interval at which capacity and limits are updated and
@@ -153,7 +154,7 @@
 		report.Demands = append(report.Demands, peer.AccountDemand(demand))
 	}
 	report.Loads = d.placer.Loads(now, maxReportLoads)
-	report.Suspects = peer.SuspectsOf(now, &d.suspects, maxReportSuspects)
+	report.Suspects = d.suspects.Report(now, maxReportSuspects)
 	return report
 }
 
@@ -175,9 +176,11 @@
 }
 
 // MergeSuspects adds the suspects reported by a peer.
-func (d *Dispatcher) MergeSuspects(suspects []peer.Suspect) {
+func (d *Dispatcher) MergeSuspects(suspects []retry.Suspect) {
 	now := d.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	peer.MergeSuspects(now, &d.suspects, suspects)
+	for _, s := range suspects {
+		d.suspects.Merge(now, s)
+	}
 }
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -122,7 +122,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if set.Refused(r.fingerprint, r.startedAt) || d.suspects.Exhausted(r.startedAt, r.fingerprint) {
+	if _, refused := d.suspects.Refused(r.startedAt, r.keys()); refused || set.Refused(r.fingerprint, r.startedAt) {
 		return nil, failure.NotRun(http.StatusUnprocessableEntity, failure.CrashesTargets,
 			"targets died while they ran this request; fingerprint %s", r.fingerprint)
 	}
@@ -227,7 +227,7 @@
 	d.recordPlacement(r, false)
 	d.mu.Lock()
 	d.lengths.Observe(r.request.Account, r.generation.MaxTokens, r.tokens)
-	d.suspects.Clear(r.fingerprint)
+	d.suspects.RecordAnswer(d.Clock.Now(), r.keys())
 	d.mu.Unlock()
 	d.count("requests.answered")
 	select {
--- a/internal/dispatch/poolclient.go
+++ b/internal/dispatch/poolclient.go
@@ -195,7 +195,7 @@
 	}
 	if answer.Innocent {
 		r.d.mu.Lock()
-		r.d.suspects.WithdrawCrash(r.fingerprint)
+		r.d.suspects.WithdrawCrash(r.diedOn, r.fingerprint)
 		r.d.mu.Unlock()
 	}
 	r.diedOn = ""
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -12,6 +12,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 	"sassafrasplank.example/sassafrasplank/internal/target"
 )
 
@@ -394,7 +395,7 @@
 	if at.delivered && r.d.placer.CrashedBySuspect(now, at.ticket.Target) {
 		return
 	}
-	r.d.suspects.RecordCrash(now, r.fingerprint)
+	r.d.suspects.RecordCrash(now, at.ticket.Target, r.keys())
 	r.request.Suspect = true
 	r.diedOn = ""
 	if at.delivered {
@@ -405,9 +406,13 @@
 func (r *run) crashesExhausted() bool {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
-	return r.d.suspects.Exhausted(r.d.Clock.Now(), r.fingerprint)
+	_, refused := r.d.suspects.Refused(r.d.Clock.Now(), r.keys())
+	return refused
 }
 
+// keys returns the keys by which the request is suspect when its target crashes.
+func (r *run) keys() retry.Keys { return retry.Keys{Request: r.fingerprint} }
+
 // refuseTimeout limits the write that makes all hosts refuse a request.
 const refuseTimeout = 30 * time.Second
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/prefix"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
 	"sassafrasplank.example/sassafrasplank/internal/work"
 )
@@ -41,8 +42,10 @@
 	// fetchEnd is when reads from stores end, in milliseconds on the clock of the
 	// targets; 0 if nothing is read from a store.
 	fetchEnd int64
-	// failed is set if the answer passed on is a failure of the target.
-	failed bool
+	// events is the number of events received from the target.
+	events int
+	// answered is set once the answer is complete, failed if it is a failure of the target.
+	answered, failed bool
 }
 
 // placementRequest returns the input of placement for a request.
@@ -296,9 +299,14 @@
 
 // recordTokens records one event of a stream as the usual number of tokens of an
 // event.
-func (g *Gateway) recordTokens(at *attempt) {
+func (r *run) recordTokens(at *attempt) {
+	g := r.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	at.events++
+	if at.events == answeringEvents {
+		g.suspects.RecordAnswer(g.Clock.Now(), r.keys)
+	}
 	n := 1
 	if cfg := g.routes.Load(); cfg != nil {
 		if e := cfg.Services[at.target.Service].Engine; e != nil {
@@ -309,11 +317,15 @@
 }
 
 // recordAnswered records an attempt whose answer was passed on.
-func (g *Gateway) recordAnswered(at *attempt) {
+func (r *run) recordAnswered(at *attempt) {
+	g := r.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.avoidFactors, at.target.ID)
 	g.placer.RecordOutcome(g.Clock.Now(), at.target.ID, at.failed)
+	if at.answered {
+		g.suspects.RecordAnswer(g.Clock.Now(), r.keys)
+	}
 }
 
 // maxAvoidFactor is the maximum multiple of AvoidFor for which a target is
@@ -343,8 +355,10 @@
 }
 
 // recordFailure records and logs a failure of a target. If the connection was
-// lost, it counts a crash of the target against the request.
-func (g *Gateway) recordFailure(r *run, at *attempt, err error) {
+// lost, the request is suspect of having crashed the target, and until the target has begun
+// to answer, so are the parts of its prompt.
+func (r *run) recordFailure(at *attempt, err error) {
+	g := r.g
 	var broken *BrokenError
 	lost := errors.As(err, &broken) && broken.Lost
 	now := g.Clock.Now()
@@ -352,8 +366,30 @@
 	g.placer.RecordOutcome(now, at.target.ID, true)
 	crashes := 0
 	if lost {
-		crashes = g.suspects.RecordCrash(now, r.work.Fingerprint)
+		keys := r.keys
+		if at.events >= answeringEvents {
+			keys.Parts = nil
+		}
+		var blamed []string
+		crashes, blamed = g.suspects.RecordCrash(now, at.target.ID, keys)
+		for _, key := range blamed {
+			g.logBlamed(key, "crash")
+		}
 	}
 	g.mu.Unlock()
 	r.logFailure(at, err, crashes)
 }
+
+// answeringEvents is the number of events after which a target is known not to crash on the
+// prompt. It may crash when it begins to answer, after it has sent the first event.
+const answeringEvents = 2
+
+// suspectKeys returns the keys by which a request is suspect when its target crashes. Parts
+// are the same for all client accounts and weights.
+func suspectKeys(w *work.Work) retry.Keys {
+	keys := retry.Keys{Request: w.Fingerprint}
+	for _, part := range w.Parts[:max(0, len(w.Parts)-1)] {
+		keys.Parts = append(keys.Parts, retry.Fingerprint("", w.Model, part.Key))
+	}
+	return keys
+}
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -50,7 +50,7 @@
 			t.Fatal(none.why)
 		}
 		at.failed = failed
-		g.recordAnswered(at)
+		(&run{g: g}).recordAnswered(at)
 		g.finishAttempt(at)
 		return at.decision.Chosen.Penalty
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -60,6 +60,7 @@
 		Int64("lastEvent", r.lastID).
 		Int("crashes", crashes).
 		Str("fingerprint", r.work.Fingerprint).
+		Strs("partFingerprints", r.keys.Parts).
 		Dur("age", r.g.Clock.Now().Sub(r.work.Received)).
 		Err(err).
 		Msg("attempt: failed")
@@ -95,3 +96,10 @@
 	}
 	entry.Msg("request: " + outcome)
 }
+
+// logBlamed logs that requests with a key may be refused from now on. source tells whether
+// this host saw the last crash or a peer did. The lock must be held.
+func (g *Gateway) logBlamed(key, source string) {
+	g.Log.Warn().Str("part", "suspects").Str("fingerprint", key).Int("crashes", g.suspects.CrashCount(g.Clock.Now(), key)).
+		Str("source", source).Msg("suspects: a request or prompt part crashes targets")
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/peer"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 )
 
 // Limits of one report, so that its size doesn't grow with the system.
@@ -51,22 +52,25 @@
 }
 
 // PeerReport returns the report for peers: the number of requests being served,
-// what this host has placed on targets, and the requests during which targets
-// crashed.
+// what this host has placed on targets, and what may have crashed targets.
 func (g *Gateway) PeerReport() peer.Report {
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	report := peer.Report{RequestsInFlight: g.Active(), Loads: g.placer.Loads(now, maxReportLoads)}
-	report.Suspects = peer.SuspectsOf(now, &g.suspects, maxReportSuspects)
+	report.Suspects = g.suspects.Report(now, maxReportSuspects)
 	report.Leaving = g.reportLeaving(now)
 	return report
 }
 
 // MergeSuspects adds the suspects reported by a peer.
-func (g *Gateway) MergeSuspects(suspects []peer.Suspect) {
+func (g *Gateway) MergeSuspects(suspects []retry.Suspect) {
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	peer.MergeSuspects(now, &g.suspects, suspects)
+	for _, s := range suspects {
+		if g.suspects.Merge(now, s) {
+			g.logBlamed(s.Key, "peer")
+		}
+	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -54,7 +54,7 @@
 				return nil
 			}
 		}
-		r.g.recordTokens(at)
+		r.recordTokens(at)
 		r.recordEvent()
 		if event.ID != eventstream.NoID {
 			r.lastID = event.ID
@@ -98,6 +98,7 @@
 // The ledger counts each event as one answer token. recordDone is called at most
 // once per request.
 func (r *run) recordDone(at *attempt, status int) {
+	at.answered = true
 	r.g.count("requests.done")
 	r.g.measure("requests.wholeMicros", r.g.Clock.Now().Sub(r.work.Received))
 	r.logDone(at, status)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,6 +9,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 	"sassafrasplank.example/sassafrasplank/internal/work"
 )
 
@@ -20,6 +21,8 @@
 	sink work.Sink
 	// request is the input of placement.
 	request placement.Request
+	// keys are what is suspect when a target crashes.
+	keys retry.Keys
 	// possibleRuns counts the attempts that may have run on a target.
 	possibleRuns int
 	// attempts counts all attempts, also those that reached no target.
@@ -42,10 +45,8 @@
 	defer g.active.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, w.Deadline.Sub(g.Clock.Now()))
 	defer cancel()
-	r := &run{g: g, work: w, sink: sink, lastID: w.LastEventID, request: g.placementRequest(w)}
+	r := &run{g: g, work: w, sink: sink, lastID: w.LastEventID, request: g.placementRequest(w), keys: suspectKeys(w)}
 	g.mu.Lock()
-	crashes := g.suspects.CrashCount(g.Clock.Now(), w.Fingerprint)
-	exhausted := g.suspects.Exhausted(g.Clock.Now(), w.Fingerprint)
 	g.budget(w.Service).Earn()
 	g.mu.Unlock()
 	if g.Ledger.Full() {
@@ -53,12 +54,6 @@
 		r.refuse(failure.Busy(failure.LedgerFull, r.retryAfter(), "this host can't record further placements in the ledger now"))
 		return
 	}
-	if exhausted {
-		g.count("requests.refusedSuspect")
-		r.refuse(failure.Busy(failure.CrashesTargets, g.Config.Retries.SuspectTTL.Duration,
-			"targets died %d times while this request ran", crashes))
-		return
-	}
 	r.runAttempts(ctx)
 }
 
@@ -89,6 +84,9 @@
 	begin := r.g.Clock.Now()
 	maxWait := min(r.work.Route.Goal, r.work.Deadline.Sub(begin)) / maxWaitDivisor
 	for {
+		if refusal := r.refuseSuspect(); refusal != nil {
+			return nil, refusal
+		}
 		at, none := r.g.choose(&r.request, r.work)
 		if at != nil {
 			r.attempts++
@@ -109,6 +107,26 @@
 	}
 }
 
+// refuseSuspect returns a failure if the request, or a part of its prompt, has crashed too
+// many targets.
+func (r *run) refuseSuspect() *failure.Error {
+	r.g.mu.Lock()
+	now := r.g.Clock.Now()
+	key, refused := r.g.suspects.Refused(now, r.keys)
+	crashes := r.g.suspects.CrashCount(now, key)
+	r.g.mu.Unlock()
+	if !refused {
+		return nil
+	}
+	r.g.count("requests.refusedSuspect")
+	what := "this request"
+	if key != r.keys.Request {
+		what = "requests with a part of this prompt"
+	}
+	return r.refusalOrMaybeRun(failure.Busy(failure.CrashesTargets, r.g.Config.Retries.SuspectTTL.Duration,
+		"%d targets crashed while they ran %s; fingerprint %s", crashes, what, key))
+}
+
 const (
 	// maxWaitDivisor divides the goal of a request, or the time left if it is
 	// shorter, to give the maximum wait for a usable target. A caller that is
@@ -158,7 +176,7 @@
 // caller disconnected or the deadline passed.
 func (r *run) recordEnd(ctx context.Context, at *attempt, err error) error {
 	if err == nil {
-		r.g.recordAnswered(at)
+		r.recordAnswered(at)
 		return nil
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
@@ -166,6 +184,6 @@
 	} else if ctx.Err() != nil {
 		return err
 	}
-	r.g.recordFailure(r, at, err)
+	r.recordFailure(at, err)
 	return err
 }
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -4,32 +4,41 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/gateway"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
 	"sassafrasplank.example/sassafrasplank/internal/work"
 )
 
-// knownRed skips a check that is listed in KNOWN-RED.txt, unless the environment
-// variable SASSAFRASPLANK_KNOWN_RED is set.
-func knownRed(t *testing.T) {
-	t.Helper()
-	if os.Getenv("SASSAFRASPLANK_KNOWN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
+// crashingEngines crash before the first event if the prompt has a part, and can't be reached
+// for downTime after that.
+type crashingEngines struct {
+	mu      sync.Mutex
+	part    string
+	crashed map[string]time.Time
+	crashes int
 }
 
-// crashesOn lets a target crash before its first event if the prompt has a part.
-func crashesOn(part string) step {
-	return func(_ context.Context, call *gateway.Call) (gateway.Reply, error) {
-		if hasPart(call.Work, part) {
-			return &fakeReply{status: 200, last: broken}, nil
-		}
-		return &fakeReply{status: 200, events: numbered(1, 3), last: io.EOF}, nil
+const downTime = 3 * time.Second
+
+func (e *crashingEngines) send(_ context.Context, call *gateway.Call) (gateway.Reply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if at, ok := e.crashed[call.Target.ID]; ok && time.Since(at) < downTime {
+		return nil, unreachable
+	}
+	if hasPart(call.Work, e.part) {
+		e.crashed[call.Target.ID] = time.Now()
+		e.crashes++
+		return &fakeReply{status: 200, last: broken}, nil
 	}
+	return &fakeReply{status: 200, events: numbered(1, 3), last: io.EOF}, nil
 }
 
 func hasPart(w *work.Work, key string) bool {
@@ -47,42 +56,126 @@
 	return w
 }
 
+// crashingHosts are hosts in front of the same eight engines, which crash on the part "bad".
+type crashingHosts struct {
+	list    []*fixture
+	engines *crashingEngines
+	// sent is the number of requests served so far.
+	sent int
+}
+
+func newCrashingHosts(t *testing.T, n int) *crashingHosts {
+	t.Helper()
+	h := &crashingHosts{engines: &crashingEngines{part: "bad", crashed: map[string]time.Time{}}}
+	for range n {
+		f := newFixture(t, h.engines.send)
+		for i := range 8 {
+			id := fmt.Sprintf("e%d", i+1)
+			f.Fleet.Put(fleet.Target{ID: id, Service: loom, Address: id + ":1", Slots: 16, Versions: map[string]int64{letter: 1}})
+		}
+		f.TargetsChanged()
+		h.list = append(h.list, f)
+	}
+	return h
+}
+
+// serve serves a request with the given parts and one of its own on the next host.
+func (h *crashingHosts) serve(parts ...string) *fakeSink {
+	h.sent++
+	return h.list[h.sent%len(h.list)].serve(promptRequest(h.sent, parts...))
+}
+
+// exchange lets all hosts exchange reports.
+func (h *crashingHosts) exchange() {
+	for _, from := range h.list {
+		for _, to := range h.list {
+			to.MergeSuspects(from.PeerReport().Suspects)
+		}
+	}
+}
+
+// crashes returns the number of targets that crashed.
+func (h *crashingHosts) crashes() int { return h.engines.crashes }
+
 // Requests that have one part of their prompts in common crash every target. They come at
 // all hosts, no two alike, with sound requests that share their other parts.
 func TestPartThatCrashesTargetsIsRefusedOnAllHosts(t *testing.T) {
-	knownRed(t)
-	hosts := []*fixture{newFixture(t, crashesOn("bad")), newFixture(t, crashesOn("bad")), newFixture(t, crashesOn("bad"))}
-	n, answered := 0, 0
-	serve := func(parts ...string) *fakeSink {
-		n++
-		return hosts[n%len(hosts)].serve(promptRequest(n, parts...))
-	}
-	for range 20 {
-		if s := serve("system", "thing", "bad"); s.refused != nil && s.refused.NotRun {
-			if s.refused.RetryAfter <= 0 {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := newCrashingHosts(t, 3)
+		answered := 0
+		for range 20 {
+			if s := hosts.serve("system", "thing", "bad"); s.refused != nil && s.refused.NotRun && s.refused.RetryAfter <= 0 {
 				t.Error("a refusal has no delay before a retry")
 			}
-		}
-		for _, thing := range []string{"thing", "other"} {
-			if s := serve("system", thing); s.body == "123" {
-				answered++
+			for _, thing := range []string{"thing", "other"} {
+				if s := hosts.serve("system", thing); s.body == "123" {
+					answered++
+				}
 			}
+			hosts.exchange()
+			time.Sleep(300 * time.Millisecond)
 		}
-		for _, from := range hosts {
-			for _, to := range hosts {
-				to.MergeSuspects(from.PeerReport().Suspects)
-			}
+		if crashes := hosts.crashes(); crashes > 5 || answered != 40 {
+			t.Errorf("%d requests with the part crashed targets, want at most 5; %d of 40 sound requests were answered", crashes, answered)
 		}
-	}
-	crashes := 0
-	for _, f := range hosts {
-		for _, call := range f.targets.calls {
-			if hasPart(call.Work, "bad") {
-				crashes++
+	})
+}
+
+// The part crashes targets before any request with the other parts was answered. The sound
+// requests that follow have to be answered all the same.
+func TestSoundPartsAreNotRefusedWithTheBadOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := newCrashingHosts(t, 3)
+		for range 10 {
+			hosts.serve("system", "thing", "bad")
+			hosts.exchange()
+			time.Sleep(300 * time.Millisecond)
+		}
+		for _, parts := range [][]string{{"system", "thing"}, {"system", "other"}, {"thing"}} {
+			if s := hosts.serve(parts...); s.body != "123" {
+				t.Errorf("prompt with the parts %v: got %+v, want an answer", parts, s)
 			}
 		}
+		if crashes := hosts.crashes(); crashes > 5 {
+			t.Errorf("%d requests with the part crashed targets, want at most 5", crashes)
+		}
+		hosts.exchange()
+		crashes := hosts.crashes()
+		hosts.serve("thing", "bad")
+		if hosts.crashes() != crashes {
+			t.Error("a request with the part crashed a target after its other parts had been answered")
+		}
+	})
+}
+
+// A request that may run again must not crash further targets once its part is known.
+func TestRetryDoesNotCrashFurtherTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := newCrashingHosts(t, 1)
+		hosts.serve("bad")
+		time.Sleep(time.Second)
+		hosts.serve("bad")
+		w := promptRequest(100, "bad")
+		w.Route.Attempts, w.Route.Resumable = 3, true
+		s := hosts.list[0].serve(w)
+		if crashes := hosts.crashes(); crashes != 3 {
+			t.Errorf("%d requests with the part crashed targets, want 3", crashes)
+		}
+		if s.refused == nil || s.refused.NotRun {
+			t.Errorf("got %+v, want a failure of a request that may have run", s.refused)
+		}
+	})
+}
+
+// A target that breaks off an answer after its second event has not crashed on the prompt.
+func TestPartsOfRunningStreamAreNotSuspect(t *testing.T) {
+	f := newFixture(t, stream(1, 2, broken))
+	for n := range 6 {
+		f.serve(promptRequest(n, "system"))
 	}
-	if crashes > 5 || answered != 40 {
-		t.Errorf("%d requests with the part reached targets, want at most 5; %d of 40 sound requests were answered", crashes, answered)
+	f.targets.script = []step{stream(1, 3, io.EOF)}
+	f.targets.calls = nil
+	if s := f.serve(promptRequest(9, "system")); s.body != "123" {
+		t.Errorf("got %+v, want an answer", s)
 	}
 }
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -17,6 +17,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/recordstore"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 	"sassafrasplank.example/sassafrasplank/pkg/record"
 )
 
@@ -51,7 +52,7 @@
 	// with the table service, Ready and Tables.
 	PeerReport() Report
 	// MergeSuspects adds the suspects that a peer reported.
-	MergeSuspects(suspects []Suspect)
+	MergeSuspects(suspects []retry.Suspect)
 	// MergeLeaving applies the leaving targets that a peer reported.
 	MergeLeaving(leaving []LeavingTarget)
 }
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -23,6 +23,7 @@
 	maxDemands   = 4096
 	maxLoads     = 16384
 	maxSuspects  = 256
+	maxCrashes   = 64 // of one suspect
 	maxUpdates   = 256
 	maxLeaving   = 256
 	// unknownContact is the value of ContactAgeMillis while no contact is known.
@@ -44,7 +45,7 @@
 	Ready    bool
 	Demands  []AccountDemand
 	Loads    []placement.TargetLoad
-	Suspects []Suspect
+	Suspects []retry.Suspect
 	Tables   []TableVersion
 	// Leaving are targets whose answers say that they are leaving.
 	Leaving []LeavingTarget
@@ -64,32 +65,6 @@
 	InFlight        int
 }
 
-// Suspect is a request that ran on targets when they died.
-type Suspect struct {
-	Fingerprint string
-	Crashes     int
-	// Age is the time since the last crash.
-	Age time.Duration
-}
-
-// SuspectsOf returns at most limit of the suspects known to this host.
-func SuspectsOf(now time.Time, known *retry.Suspects, limit int) []Suspect {
-	var list []Suspect
-	known.Range(now, func(fingerprint string, crashes int, age time.Duration) {
-		if len(list) < limit {
-			list = append(list, Suspect{Fingerprint: fingerprint, Crashes: crashes, Age: age})
-		}
-	})
-	return list
-}
-
-// MergeSuspects adds the suspects that a peer reported to those known to this host.
-func MergeSuspects(now time.Time, known *retry.Suspects, reported []Suspect) {
-	for _, s := range reported {
-		known.Merge(now, s.Fingerprint, s.Crashes, s.Age)
-	}
-}
-
 func (r *Report) encode() *wire.Report {
 	encoded := &wire.Report{
 		Revision:         r.Revision,
@@ -107,8 +82,8 @@
 		})
 	}
 	encoded.Loads = encodeLoads(r.Loads)
-	for _, s := range r.Suspects {
-		encoded.Suspects = append(encoded.Suspects, &wire.Suspect{Fingerprint: s.Fingerprint, Crashes: int32(s.Crashes), AgeMillis: s.Age.Milliseconds()})
+	for i := range r.Suspects {
+		encoded.Suspects = append(encoded.Suspects, encodeSuspect(&r.Suspects[i]))
 	}
 	for _, t := range r.Tables {
 		encoded.Tables = append(encoded.Tables, &wire.TableVersion{Table: t.Table, Version: t.Version, Era: t.Era})
@@ -193,12 +168,38 @@
 	return loads, nil
 }
 
+func encodeSuspect(s *retry.Suspect) *wire.Suspect {
+	encoded := &wire.Suspect{
+		Fingerprint: s.Key, Crashes: int32(len(s.Crashes)), AgeMillis: s.Age.Milliseconds(),
+		Answered: s.Answered, AnsweredAgeMillis: s.AnsweredAge.Milliseconds(),
+	}
+	for _, c := range s.Crashes {
+		encoded.Targets = append(encoded.Targets, &wire.TargetCrash{Target: c.Target, AgeMillis: c.Age.Milliseconds()})
+	}
+	return encoded
+}
+
+// decodeSuspects validates and converts suspects. Hosts of an earlier build report the
+// number of crashes without their targets.
 func (r *Report) decodeSuspects(suspects []*wire.Suspect) error {
 	for _, s := range suspects {
-		if len(s.Fingerprint) > maxNameBytes || s.Crashes < 0 || s.AgeMillis < 0 {
+		if len(s.Fingerprint) > maxNameBytes || s.Crashes < 0 || s.AgeMillis < 0 || s.AnsweredAgeMillis < 0 || len(s.Targets) > maxCrashes {
 			return fmt.Errorf("peer report: suspect %.40q is out of range or its fingerprint is too long", s.Fingerprint)
 		}
-		r.Suspects = append(r.Suspects, Suspect{Fingerprint: s.Fingerprint, Crashes: int(s.Crashes), Age: time.Duration(s.AgeMillis) * time.Millisecond})
+		age := time.Duration(s.AgeMillis) * time.Millisecond
+		decoded := retry.Suspect{Key: s.Fingerprint, Age: age, Answered: s.Answered, AnsweredAge: time.Duration(s.AnsweredAgeMillis) * time.Millisecond}
+		for _, c := range s.Targets {
+			if len(c.Target) > maxNameBytes || c.AgeMillis < 0 {
+				return fmt.Errorf("peer report: a crash of suspect %.40q is out of range or the name of its target is too long", s.Fingerprint)
+			}
+			decoded.Crashes = append(decoded.Crashes, retry.Crash{Target: c.Target, Age: time.Duration(c.AgeMillis) * time.Millisecond})
+		}
+		if len(s.Targets) == 0 {
+			for i := range min(int(s.Crashes), maxCrashes) {
+				decoded.Crashes = append(decoded.Crashes, retry.Crash{Target: fmt.Sprintf("unnamed %d", i+1), Age: age})
+			}
+		}
+		r.Suspects = append(r.Suspects, decoded)
 	}
 	return nil
 }
--- a/internal/peer/report_test.go
+++ b/internal/peer/report_test.go
@@ -10,14 +10,18 @@
 	"sassafrasplank.example/sassafrasplank/internal/membership"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 )
 
 func sampleReport() Report {
 	return Report{
 		Revision: 3, HighestRevision: 4, ContactAge: 2 * time.Second, ContactKnown: true, RequestsInFlight: 5, Ready: true,
-		Demands:  []AccountDemand{{Account: "orders", TokensPerSecond: 10, InFlight: 2}},
-		Loads:    []placement.TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1, HeldTokens: 700}},
-		Suspects: []Suspect{{Fingerprint: "f00d", Crashes: 1, Age: time.Second}},
+		Demands: []AccountDemand{{Account: "orders", TokensPerSecond: 10, InFlight: 2}},
+		Loads:   []placement.TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1, HeldTokens: 700}},
+		Suspects: []retry.Suspect{{
+			Key: "f00d", Age: time.Second, Crashes: []retry.Crash{{Target: "engine-1", Age: time.Second}, {Target: "engine-2", Age: 2 * time.Second}},
+			Answered: true, AnsweredAge: time.Minute,
+		}},
 	}
 }
 
@@ -32,6 +36,18 @@
 	}
 }
 
+// Hosts of an earlier build report crashes without their targets.
+func TestSuspectOfEarlierBuild(t *testing.T) {
+	got, err := decodeReport(&wire.Report{Suspects: []*wire.Suspect{{Fingerprint: "f00d", Crashes: 2, AgeMillis: 1000}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []retry.Suspect{{Key: "f00d", Age: time.Second, Crashes: []retry.Crash{{Target: "unnamed 1", Age: time.Second}, {Target: "unnamed 2", Age: time.Second}}}}
+	if diff := cmp.Diff(want, got.Suspects); diff != "" {
+		t.Errorf("suspects (-want +got):\n%s", diff)
+	}
+}
+
 // FuzzExchange checks that any message of a peer is either rejected or within its
 // limits.
 func FuzzExchange(f *testing.F) {
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -20,6 +20,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/recordstore"
+	"sassafrasplank.example/sassafrasplank/internal/retry"
 	"sassafrasplank.example/sassafrasplank/pkg/record"
 )
 
@@ -31,7 +32,7 @@
 }
 
 func (e *environment) Hosts(context.Context) ([]platform.Host, error) { return e.hosts, nil }
-func (e *environment) MergeSuspects([]Suspect)                        {}
+func (e *environment) MergeSuspects([]retry.Suspect)                  {}
 func (e *environment) MergeLeaving([]LeavingTarget)                   {}
 func (e *environment) TargetLeaving(string)                           {}
 func (e *environment) ObserveFor(*wire.ObserveRequest)                {}
