Don't take the failure of a target for an answer that clears its suspects

Callers could see: a prompt part that crashes targets goes on doing so, since each 500 that a target answers to a request with it clears the count of crashes. Cause: any complete answer counted as a sign that the prompt is sound, also one that a target gives before it begins to write. Change: only a successful answer does. Result: TestFailureDoesNotClearSuspects fails before (5 crashes, want 3) and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,7 +44,8 @@
 	fetchEnd int64
 	// events is the number of events received from the target.
 	events int
-	// answered is set once the answer is complete, failed if it is a failure of the target.
+	// answered is set once a successful answer is complete, failed once a failure of the
+	// target is.
 	answered, failed bool
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -98,7 +98,7 @@
 // The ledger counts each event as one answer token. recordDone is called at most
 // once per request.
 func (r *run) recordDone(at *attempt, status int) {
-	at.answered = true
+	at.answered = status < http.StatusBadRequest
 	r.g.count("requests.done")
 	r.g.measure("requests.wholeMicros", r.g.Clock.Now().Sub(r.work.Received))
 	r.logDone(at, status)
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -179,3 +179,26 @@
 		t.Errorf("got %+v, want an answer", s)
 	}
 }
+
+// A failure that a target answers with doesn't show that the prompt is sound, as the target
+// may have failed before it began to write.
+func TestFailureDoesNotClearSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := newCrashingHosts(t, 1)
+		f := hosts.list[0]
+		for range 2 {
+			hosts.serve("bad")
+			time.Sleep(time.Second)
+		}
+		f.targets.script = []step{answer(500, "no")}
+		hosts.serve("bad")
+		f.targets.script = []step{hosts.engines.send}
+		for range 3 {
+			hosts.serve("bad")
+			time.Sleep(time.Second)
+		}
+		if crashes := hosts.crashes(); crashes != 3 {
+			t.Errorf("%d requests with the part crashed targets, want 3", crashes)
+		}
+	})
+}
