Count crashes of targets by prompt prefix on the path of completions

Callers could see, on `serve`: requests with one prefix in common, such as instructions, crash engine after engine, since each prompt has a count of its own. The request is refused by the longest one that is blamed; its refusal is written as a record, as that of a request is, and lifting it clears the prefixes that are suspect of none but the same crashes.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -181,6 +181,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range suspects {
-		d.suspects.Merge(now, s)
+		if d.suspects.Merge(now, s) {
+			d.logBlamed(now, s.Key, "peer")
+		}
 	}
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -24,8 +24,8 @@
 	url      string
 	ticket   placement.Ticket
 	decision placement.Decision
-	// delivered is set once the attempt has delivered a token.
-	delivered bool
+	// tokens is the number of tokens that the attempt has delivered.
+	tokens int
 	// owner and ownerTicket identify the decision at the pool owner if another
 	// host made it.
 	owner       string
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -10,7 +10,6 @@
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/prefix"
-	"sassafrasplank.example/sassafrasplank/internal/retry"
 	"sassafrasplank.example/sassafrasplank/pkg/record"
 )
 
@@ -111,20 +110,19 @@
 			"the prompt has about %d tokens, the limit is %d", promptTokens, limit)
 	}
 	r := &run{
-		d:           d,
-		generation:  g,
-		sink:        sink,
-		id:          d.nextID(),
-		startedAt:   d.Clock.Now(),
-		fingerprint: retry.Fingerprint(g.Account, g.Model, g.Prompt),
-		events:      make(chan attemptEvent, eventBuffer),
-		active:      map[int]*attempt{},
+		d:          d,
+		generation: g,
+		sink:       sink,
+		id:         d.nextID(),
+		startedAt:  d.Clock.Now(),
+		keys:       d.suspectKeys(g),
+		events:     make(chan attemptEvent, eventBuffer),
+		active:     map[int]*attempt{},
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, refused := d.suspects.Refused(r.startedAt, r.keys()); refused || set.Refused(r.fingerprint, r.startedAt) {
-		return nil, failure.NotRun(http.StatusUnprocessableEntity, failure.CrashesTargets,
-			"targets died while they ran this request; fingerprint %s", r.fingerprint)
+	if key, refused := d.refused(set, r); refused {
+		return nil, failure.NotRun(http.StatusUnprocessableEntity, failure.CrashesTargets, crashesTargetsFormat, key)
 	}
 	r.poolName = d.pools[g.Model]
 	answerTokens := d.lengths.Estimate(g.Account, g.MaxTokens)
@@ -137,7 +135,7 @@
 		PromptTokens: promptTokens,
 		AnswerTokens: answerTokens,
 		Long:         answerTokens > d.Config.Placement.LongTokens,
-		Suspect:      d.suspects.CrashCount(r.startedAt, r.fingerprint) > 0,
+		Suspect:      d.suspects.CrashCount(r.startedAt, r.keys.Request) > 0,
 		MayProbe:     true,
 		Chain:        prefix.Chain(nil, seed, g.Prompt, d.Config.Placement.BlockTokens),
 	}
@@ -227,7 +225,7 @@
 	d.recordPlacement(r, false)
 	d.mu.Lock()
 	d.lengths.Observe(r.request.Account, r.generation.MaxTokens, r.tokens)
-	d.suspects.RecordAnswer(d.Clock.Now(), r.keys())
+	d.suspects.RecordAnswer(d.Clock.Now(), r.keys)
 	d.mu.Unlock()
 	d.count("requests.answered")
 	select {
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -24,6 +24,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/prefix"
 	"sassafrasplank.example/sassafrasplank/internal/store"
 	"sassafrasplank.example/sassafrasplank/internal/target"
 	"sassafrasplank.example/sassafrasplank/pkg/record"
@@ -172,10 +173,13 @@
 
 // startDispatcher starts a dispatcher and waits until it has polled its targets
 // once.
-func startDispatcher(t *testing.T, client dispatch.TargetCaller, env *fakeEnvironment) (d *dispatch.Dispatcher, stop func()) {
+func startDispatcher(t *testing.T, client dispatch.TargetCaller, env *fakeEnvironment, change ...func(*config.Config)) (d *dispatch.Dispatcher, stop func()) {
 	t.Helper()
 	cfg := config.Default()
 	cfg.Placement.WarmUp = config.DurationOf(0)
+	for _, f := range change {
+		f(&cfg)
+	}
 	d = &dispatch.Dispatcher{
 		Host: "one", Incarnation: 1, Config: cfg, Clock: clock.System{}, Targets: client, Stores: env, Records: env, Peers: env,
 		Ledger: env, Refuser: env, Metrics: metrics.NewRegistry(),
@@ -343,3 +347,46 @@
 		stop()
 	})
 }
+
+// A prefix that different prompts share crashes every engine. Once it is known, requests with
+// it are refused, and sound ones that share the blocks before it are answered.
+func TestPrefixThatCrashesTargetsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const blockTokens = 50
+		block := func(text string) string {
+			return strings.Repeat(text, blockTokens*prefix.BytesPerToken)[:blockTokens*prefix.BytesPerToken]
+		}
+		crashes := 0
+		crashedAt := map[string]time.Time{}
+		e := &fakeEngines{}
+		e.run = func(_ context.Context, url string, run *target.RunRequest, w io.Writer) error {
+			if strings.Contains(run.Prompt, "bad") {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				if at, ok := crashedAt[url]; !ok || time.Since(at) > 2*time.Second {
+					crashes++
+					crashedAt[url] = time.Now()
+				}
+				return io.ErrUnexpectedEOF
+			}
+			return answer(w, run, 0)
+		}
+		d, stop := startDispatcher(t, e, newFakeEnvironment(t), func(cfg *config.Config) { cfg.Placement.BlockTokens = blockTokens })
+		defer stop()
+		answered := 0
+		for i := range 12 {
+			for _, prompt := range []string{block("system ") + block("bad "), block("system ")} {
+				sink := &textSink{}
+				request := &dispatch.GenerationRequest{Account: fmt.Sprint("orders", i), Model: "m", Prompt: prompt + fmt.Sprint(i), MaxTokens: 3}
+				if _, err := d.Generate(t.Context(), request, sink); err == nil {
+					answered++
+				}
+			}
+			time.Sleep(3 * time.Second)
+		}
+		if crashes > 5 || answered != 12 {
+			t.Errorf("%d crashes, want at most 5; %d of 12 sound requests were answered", crashes, answered)
+		}
+		_ = d.Stop(t.Context())
+	})
+}
--- a/internal/dispatch/poolclient.go
+++ b/internal/dispatch/poolclient.go
@@ -195,7 +195,9 @@
 	}
 	if answer.Innocent {
 		r.d.mu.Lock()
-		r.d.suspects.WithdrawCrash(r.diedOn, r.fingerprint)
+		for _, key := range r.keys.All() {
+			r.d.suspects.WithdrawCrash(r.diedOn, key)
+		}
 		r.d.mu.Unlock()
 	}
 	r.diedOn = ""
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -47,14 +47,15 @@
 
 // run is the state of one request over its attempts.
 type run struct {
-	d           *Dispatcher
-	generation  *GenerationRequest
-	sink        Sink
-	id          string
-	startedAt   time.Time
-	fingerprint string
-	request     placement.Request
-	job         *admission.Job
+	d          *Dispatcher
+	generation *GenerationRequest
+	sink       Sink
+	id         string
+	startedAt  time.Time
+	// keys are what is suspect when a target crashes.
+	keys    retry.Keys
+	request placement.Request
+	job     *admission.Job
 
 	// pool is the job at the owner of the pool, nil if this host admitted the
 	// request.
@@ -171,7 +172,7 @@
 			return r.fail(failure.DeadlineExceeded, "the caller disconnected: %v", err)
 		}
 	}
-	at.delivered = true
+	at.tokens++
 	r.text.WriteString(event.Text)
 	r.tokens++
 	r.recordToken(now, at)
@@ -215,6 +216,9 @@
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
 	r.d.placer.RecordTokens(now, &at.ticket, 1)
+	if at.tokens == answeringTokens {
+		r.d.suspects.RecordAnswer(now, r.keys)
+	}
 	if turnedLong {
 		r.request.Long = true
 		r.d.placer.MarkLong(&at.ticket)
@@ -337,9 +341,9 @@
 	if !retryable {
 		return r.fail(failure.TargetFailed, "%v", err)
 	}
-	if r.crashesExhausted() {
-		r.refuseOnAllHosts()
-		return r.fail(failure.CrashesTargets, "targets died while they ran this request; fingerprint %s", r.fingerprint)
+	if key, refused := r.refusedKey(); refused {
+		r.refuseOnAllHosts(key)
+		return r.fail(failure.CrashesTargets, crashesTargetsFormat, key)
 	}
 	if r.attempts >= maxAttempts || (!free && !r.spendRetry()) {
 		return r.fail(failure.TargetFailed, "no further attempt is allowed after: %v", err)
@@ -392,44 +396,48 @@
 // suspect that had received none. The lock must be held.
 func (r *run) countCrash(at *attempt) {
 	now := r.d.Clock.Now()
-	if at.delivered && r.d.placer.CrashedBySuspect(now, at.ticket.Target) {
+	if at.tokens > 0 && r.d.placer.CrashedBySuspect(now, at.ticket.Target) {
 		return
 	}
-	r.d.suspects.RecordCrash(now, at.ticket.Target, r.keys())
+	keys := r.keys
+	if at.tokens >= answeringTokens {
+		keys.Parts = nil
+	}
+	_, blamed := r.d.suspects.RecordCrash(now, at.ticket.Target, keys)
+	for _, key := range blamed {
+		r.d.logBlamed(now, key, "crash")
+	}
 	r.request.Suspect = true
 	r.diedOn = ""
-	if at.delivered {
+	if at.tokens > 0 {
 		r.diedOn = at.ticket.Target
 	}
 }
 
-func (r *run) crashesExhausted() bool {
+// refusedKey returns the blamed key by which the request must not be attempted again.
+func (r *run) refusedKey() (key string, refused bool) {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
-	_, refused := r.d.suspects.Refused(r.d.Clock.Now(), r.keys())
-	return refused
+	return r.d.suspects.Refused(r.d.Clock.Now(), r.keys)
 }
 
-// keys returns the keys by which the request is suspect when its target crashes.
-func (r *run) keys() retry.Keys { return retry.Keys{Request: r.fingerprint} }
-
 // refuseTimeout limits the write that makes all hosts refuse a request.
 const refuseTimeout = 30 * time.Second
 
-// refuseOnAllHosts makes all hosts refuse the request. Peers also receive the
+// refuseOnAllHosts makes all hosts refuse requests with a key. Peers also receive the
 // suspect in reports, so a failed write is not fatal.
-func (r *run) refuseOnAllHosts() {
+func (r *run) refuseOnAllHosts(key string) {
 	d := r.d
 	until := d.Clock.Now().Add(d.Config.Retries.SuspectTTL.Duration).UTC()
 	d.Log.Warn().Str("part", "suspects").Str("requestId", r.id).Str("clientAccount", r.request.Account).
-		Str("fingerprint", r.fingerprint).Time("until", until).Msg("suspects: refusing the request on all hosts")
+		Str("fingerprint", key).Time("until", until).Msg("suspects: refusing the request on all hosts")
 	d.running.Add(1)
 	go func() {
 		defer d.running.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), refuseTimeout)
 		defer cancel()
-		if err := d.Refuser.Refuse(ctx, r.fingerprint, r.request.Account, until); err != nil {
-			d.Log.Warn().Str("part", "suspects").Str("fingerprint", r.fingerprint).Err(err).Msg("suspects: writing the refusal failed")
+		if err := d.Refuser.Refuse(ctx, key, r.request.Account, until); err != nil {
+			d.Log.Warn().Str("part", "suspects").Str("fingerprint", key).Err(err).Msg("suspects: writing the refusal failed")
 		}
 	}()
 }
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -51,7 +51,8 @@
 type Keys struct {
 	// Request is the fingerprint of the request.
 	Request string
-	// Parts are the fingerprints of the parts of its prompt that other requests may share.
+	// Parts are the fingerprints of the parts of its prompt that other requests may share, in
+	// their order.
 	Parts []string
 }
 
@@ -60,9 +61,14 @@
 	return key == k.Request || slices.Contains(k.Parts, key)
 }
 
-// all returns the parts and the request.
-func (k *Keys) all() []string {
-	return append(k.Parts[:len(k.Parts):len(k.Parts)], k.Request)
+// All returns the request and its parts, the last one first.
+func (k *Keys) All() []string {
+	list := make([]string, 0, len(k.Parts)+1)
+	list = append(list, k.Request)
+	for _, part := range slices.Backward(k.Parts) {
+		list = append(list, part)
+	}
+	return list
 }
 
 // Suspects finds requests and parts of prompts that crash targets. Each request that ran on
@@ -107,7 +113,7 @@
 // highest number of crashes of one of its keys since that was last answered, and the keys
 // that are blamed from now on.
 func (s *Suspects) RecordCrash(now time.Time, target string, keys Keys) (crashes int, blamed []string) {
-	for _, key := range keys.all() {
+	for _, key := range keys.All() {
 		r := s.record(now, key)
 		before := s.blamed(r)
 		r.addCrash(crash{target, now})
@@ -133,18 +139,18 @@
 	for _, part := range keys.Parts {
 		s.answered.set(part, now)
 	}
-	for _, key := range keys.all() {
+	for _, key := range keys.All() {
 		if r := s.records[key]; r != nil {
 			r.crashes, r.answeredAt, r.seenAt = nil, now, now
 		}
 	}
 }
 
-// Refused reports whether a request must not be attempted, and the key that is blamed. That
-// extends the TTL of the key. Keys that are suspect of the same crashes can't be told apart:
+// Refused reports whether a request must not be attempted, and the first of its keys that is
+// blamed, in the order of Keys.All. That extends the TTL of the key. Keys that are suspect of the same crashes can't be told apart:
 // only requests that have all of them are refused.
 func (s *Suspects) Refused(now time.Time, keys Keys) (key string, refused bool) {
-	for _, key := range keys.all() {
+	for _, key := range keys.All() {
 		r := s.records[key]
 		if r == nil || s.expired(now, r) || !s.blamed(r) || s.lacksCompanion(now, r, &keys) {
 			continue
@@ -195,10 +201,10 @@
 	return len(r.crashes)
 }
 
-// Lift clears a key whose refusal an operator has deleted. Reports of peers about it are
-// ignored for one minute, since peers may not have applied the deletion yet.
+// Lift clears a key whose refusal an operator has deleted, and the keys that are suspect of
+// none but the same crashes. Reports of peers about them are ignored for one minute, since
+// peers may not have applied the deletion yet.
 func (s *Suspects) Lift(now time.Time, key string) {
-	delete(s.records, key)
 	if s.lifted == nil {
 		s.lifted = map[string]time.Time{}
 	}
@@ -207,7 +213,17 @@
 			delete(s.lifted, known)
 		}
 	}
-	s.lifted[key] = now.Add(ignoreReportsFor)
+	until := now.Add(ignoreReportsFor)
+	if r := s.records[key]; r != nil {
+		for other, suspect := range s.records {
+			if len(suspect.crashes) > 0 && r.covers(suspect) {
+				delete(s.records, other)
+				s.lifted[other] = until
+			}
+		}
+	}
+	delete(s.records, key)
+	s.lifted[key] = until
 }
 
 // record returns the record of a key, and adds it if there is none.
