Blame prompt parts for confirmed crashes only, and probe them

Many engines that crash at once blamed a part that was never answered before; a sound part was blamed for the crashes of two bad ones; and a blamed part stayed refused, since refusals prolong it and prevent the answer that would clear it. The other way: beyond 16 crashes with the same other part, requests with the bad part went on crashing engines; with 32 records of as many crashes a part wasn't reported; hosts of the build before repeated counts, which were added up. Cause: any lost connection was evidence, the number of crashes decided whatever their times, and nothing tested what was believed. Change: before the second event of an answer, a lost connection counts if the target then refuses connections (in the trace all crashed engines did so within 20 to 240 ms, as soon as anybody tried). Of a part the moments count, 250 ms apart, at which targets crash and which no other part, never answered, explains. One request is let through 10 to 20 min after the last crash, 10 to 20 s if the key was answered before. The latest 16 crashes are kept; half of a report takes turns; counts without targets aren't added. An unframed answer of one event doesn't clear. A withdrawn crash doesn't return. Result: nine new or changed tests of internal/retry, TestLostConnectionsToAliveTargetsAreNoCrashes, TestRepeatedRequestsWithPartAreRefusedInTime and TestShortUnframedAnswerDoesNotClearSuspects pass. The tests of the fix before used crashes at the same instant; they are now a second apart, as the same instant is what must not blame a part.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -179,8 +179,9 @@
 	// further retry up to MaxDelay.
 	BaseDelay Duration `json:"baseDelay"`
 	MaxDelay  Duration `json:"maxDelay"`
-	// A request is refused once more than SuspectAttempts targets have died while they
-	// ran it. The count expires SuspectTTL after the last of these crashes.
+	// A request, or a part that prompts share, is refused once more than SuspectAttempts
+	// targets have crashed while they ran it. That expires SuspectTTL after the last crash
+	// or refusal.
 	SuspectAttempts int      `json:"suspectAttempts"`
 	SuspectTTL      Duration `json:"suspectFor"`
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -189,7 +189,7 @@
 	d.retries = retry.Budget{Percent: cfg.Retries.BudgetPercent, Reserve: retryReserve}
 	d.hedges = retry.Budget{Percent: cfg.Slowness.HedgePercent, Reserve: hedgeReserve}
 	d.backoff = retry.Backoff{Base: cfg.Retries.BaseDelay.Duration, Max: cfg.Retries.MaxDelay.Duration}
-	d.suspects = retry.Suspects{Attempts: cfg.Retries.SuspectAttempts, TTL: cfg.Retries.SuspectTTL.Duration}
+	d.suspects = retry.Suspects{Attempts: cfg.Retries.SuspectAttempts, TTL: cfg.Retries.SuspectTTL.Duration, ProbeDelay: d.rng.Float64()}
 	d.lengths = lengths.NewEstimator()
 	d.retention = retention.NewPlanner(retention.Params{
 		BlockTokens:       cfg.Placement.BlockTokens,
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -34,6 +34,8 @@
 type fakeEngines struct {
 	dispatch.TargetCaller
 	run func(ctx context.Context, url string, run *target.RunRequest, w io.Writer) error
+	// down reports whether an engine can't be reached. It may be nil.
+	down func(url string) bool
 
 	mu        sync.Mutex
 	runs      []string
@@ -57,7 +59,10 @@
 	return nil
 }
 
-func (e *fakeEngines) Load(context.Context, string) (target.LoadReport, error) {
+func (e *fakeEngines) Load(_ context.Context, url string) (target.LoadReport, error) {
+	if e.down != nil && e.down(url) {
+		return target.LoadReport{}, errors.New("connection refused")
+	}
 	return target.LoadReport{Versions: []string{"v1"}, Incarnation: 1}, nil
 }
 
@@ -348,44 +353,70 @@
 	})
 }
 
+const testBlockTokens = 50
+
+// testBlock returns one block of a prompt that repeats a text.
+func testBlock(text string) string {
+	size := testBlockTokens * prefix.BytesPerToken
+	return strings.Repeat(text, size)[:size]
+}
+
+// newCrashingEngines returns engines that crash 100 ms after they get a prompt with "bad",
+// and are down for 2 s then. crashes returns the number of crashes.
+func newCrashingEngines() (e *fakeEngines, crashes func() int) {
+	e = &fakeEngines{}
+	n := 0
+	crashedAt := map[string]time.Time{}
+	const down = 2 * time.Second
+	e.down = func(url string) bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		at, ok := crashedAt[url]
+		return ok && time.Since(at) < down
+	}
+	e.run = func(_ context.Context, url string, run *target.RunRequest, w io.Writer) error {
+		if e.down(url) {
+			return io.ErrUnexpectedEOF
+		}
+		if !strings.Contains(run.Prompt, "bad") {
+			return answer(w, run, 0)
+		}
+		time.Sleep(100 * time.Millisecond)
+		crashed := e.down(url)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if !crashed {
+			n++
+			crashedAt[url] = time.Now()
+		}
+		return io.ErrUnexpectedEOF
+	}
+	return e, func() int {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return n
+	}
+}
+
 // A prefix that different prompts share crashes every engine. Once it is known, requests with
 // it are refused, and sound ones that share the blocks before it are answered.
 func TestPrefixThatCrashesTargetsIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const blockTokens = 50
-		block := func(text string) string {
-			return strings.Repeat(text, blockTokens*prefix.BytesPerToken)[:blockTokens*prefix.BytesPerToken]
-		}
-		crashes := 0
-		crashedAt := map[string]time.Time{}
-		e := &fakeEngines{}
-		e.run = func(_ context.Context, url string, run *target.RunRequest, w io.Writer) error {
-			if strings.Contains(run.Prompt, "bad") {
-				e.mu.Lock()
-				defer e.mu.Unlock()
-				if at, ok := crashedAt[url]; !ok || time.Since(at) > 2*time.Second {
-					crashes++
-					crashedAt[url] = time.Now()
-				}
-				return io.ErrUnexpectedEOF
-			}
-			return answer(w, run, 0)
-		}
-		d, stop := startDispatcher(t, e, newFakeEnvironment(t), func(cfg *config.Config) { cfg.Placement.BlockTokens = blockTokens })
+		e, crashes := newCrashingEngines()
+		d, stop := startDispatcher(t, e, newFakeEnvironment(t), func(cfg *config.Config) { cfg.Placement.BlockTokens = testBlockTokens })
 		defer stop()
 		answered := 0
 		for i := range 12 {
-			for _, prompt := range []string{block("system ") + block("bad "), block("system ")} {
-				sink := &textSink{}
+			for _, prompt := range []string{testBlock("system ") + testBlock("bad "), testBlock("system ")} {
 				request := &dispatch.GenerationRequest{Account: fmt.Sprint("orders", i), Model: "m", Prompt: prompt + fmt.Sprint(i), MaxTokens: 3}
-				if _, err := d.Generate(t.Context(), request, sink); err == nil {
+				if _, err := d.Generate(t.Context(), request, &textSink{}); err == nil {
 					answered++
 				}
+				time.Sleep(3 * time.Second)
 			}
-			time.Sleep(3 * time.Second)
 		}
-		if crashes > 5 || answered != 12 {
-			t.Errorf("%d crashes, want at most 5; %d of 12 sound requests were answered", crashes, answered)
+		if crashes() > 5 || answered != 12 {
+			t.Errorf("%d crashes, want at most 5; %d of 12 sound requests were answered", crashes(), answered)
 		}
 		_ = d.Stop(t.Context())
 	})
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -52,8 +52,10 @@
 	sink       Sink
 	id         string
 	startedAt  time.Time
-	// keys are what is suspect when a target crashes.
+	// keys are what is suspect when a target crashes. probe is set while the request may run
+	// although one of them is blamed, until its first attempt fails.
 	keys    retry.Keys
+	probe   bool
 	request placement.Request
 	job     *admission.Job
 
@@ -262,6 +264,9 @@
 			return r.attemptFailed(ctx, at, &target.BrokenError{Sent: true, Err: errSilent})
 		}
 	}
+	if _, refused := r.refusedKey(); refused {
+		return nil
+	}
 	if r.pool != nil && !r.pool.ownerLost {
 		r.askHedge(ctx, now)
 		return nil
@@ -334,7 +339,8 @@
 	if r.winner == at {
 		r.winner = nil
 	}
-	retryable, free := r.classify(at, err)
+	crashed := at.tokens < answeringTokens && mayBeCrash(err) && r.hasCrashed(ctx, at)
+	retryable, free := r.classify(at, err, crashed)
 	if len(r.active) > 0 {
 		return nil
 	}
@@ -357,11 +363,19 @@
 	return r.launch(ctx)
 }
 
-// classify records what a failed attempt says about its target. A retry is free
-// if the target has done no work for the request.
-func (r *run) classify(at *attempt, err error) (retryable, free bool) {
+// mayBeCrash reports whether an attempt may have failed since its target crashed.
+func mayBeCrash(err error) bool {
+	var refusal *target.RefusalError
+	return !errors.As(err, &refusal) && !target.NotRun(err) && !endedLocally(err)
+}
+
+// classify records what a failed attempt says about its target. crashed is set if the target
+// has crashed before it had begun to answer. A retry is free if the target has done no work
+// for the request.
+func (r *run) classify(at *attempt, err error, crashed bool) (retryable, free bool) {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
+	r.probe = false
 	r.request.Exclude = append(r.request.Exclude, at.ticket.Target)
 	var refusal *target.RefusalError
 	if errors.As(err, &refusal) {
@@ -383,24 +397,25 @@
 		return true, true
 	}
 	r.mayHaveRun = true
-	if !endedLocally(err) {
+	if mayBeCrash(err) {
 		r.d.placer.MarkUnreachable(at.ticket.Target)
 		r.d.observer.targetUnavailable(at, false)
-		r.countCrash(at)
+		r.countCrash(at, crashed)
 	}
 	return true, false
 }
 
 // countCrash counts the crash of a target against the request. It does not if the
 // request had received tokens from the target, and the crash is attributed to a
-// suspect that had received none. The lock must be held.
-func (r *run) countCrash(at *attempt) {
+// suspect that had received none. The parts of the prompt are suspect if crashed is set. The
+// lock must be held.
+func (r *run) countCrash(at *attempt, crashed bool) {
 	now := r.d.Clock.Now()
 	if at.tokens > 0 && r.d.placer.CrashedBySuspect(now, at.ticket.Target) {
 		return
 	}
 	keys := r.keys
-	if at.tokens >= answeringTokens {
+	if !crashed {
 		keys.Parts = nil
 	}
 	_, blamed := r.d.suspects.RecordCrash(now, at.ticket.Target, keys)
@@ -418,7 +433,7 @@
 func (r *run) refusedKey() (key string, refused bool) {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
-	return r.d.suspects.Refused(r.d.Clock.Now(), r.keys)
+	return r.checkSuspects(r.d.Clock.Now())
 }
 
 // refuseTimeout limits the write that makes all hosts refuse a request.
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/prefix"
@@ -15,6 +16,8 @@
 	// suspectBlocks is the number of blocks of a prompt that are suspect of a crash. Prefixes
 	// that different prompts share, such as instructions, are at the beginning.
 	suspectBlocks = 8
+	// crashCheckTimeout limits the check whether a target has crashed.
+	crashCheckTimeout = 250 * time.Millisecond
 	// crashesTargetsFormat is the text of the failure of a refused request, for the key by
 	// which it is refused.
 	crashesTargetsFormat = "targets crashed while they ran this request or others with a prefix of its prompt; fingerprint %s"
@@ -40,7 +43,26 @@
 			return key, true
 		}
 	}
-	return d.suspects.Refused(r.startedAt, r.keys)
+	return r.checkSuspects(r.startedAt)
+}
+
+// checkSuspects returns the blamed key by which the request must not be attempted. The lock
+// must be held.
+func (r *run) checkSuspects(now time.Time) (key string, refused bool) {
+	if r.probe {
+		return "", false
+	}
+	key, verdict := r.d.suspects.Check(now, r.keys)
+	r.probe = verdict == retry.Probe
+	return key, verdict == retry.Refused
+}
+
+// hasCrashed reports whether the target of a failed attempt doesn't answer a poll.
+func (r *run) hasCrashed(ctx context.Context, at *attempt) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	_, err := r.d.Targets.Load(ctx, at.url)
+	return err != nil
 }
 
 // logBlamed logs that requests with a key may be refused from now on. source tells whether
--- a/internal/entry/refuser.go
+++ b/internal/entry/refuser.go
@@ -21,7 +21,7 @@
 
 // Refuse writes the record. An existing record is not changed.
 func (r *refuser) Refuse(ctx context.Context, fingerprint, account string, until time.Time) error {
-	spec, err := json.Marshal(record.Refusal{ClientAccount: account, Reason: "targets crashed while they ran it", NotAfter: until})
+	spec, err := json.Marshal(record.Refusal{ClientAccount: account, Reason: "targets crashed while they ran it or prompts with this prefix", NotAfter: until})
 	if err != nil {
 		return fmt.Errorf("encoding refusal: %w", err)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
@@ -355,13 +356,19 @@
 	g.placer.Avoid(at.target.ID, g.Clock.Now().Add(g.Config.Retries.AvoidFor.Duration))
 }
 
-// recordFailure records and logs a failure of a target. If the connection was
-// lost, the request is suspect of having crashed the target, and until the target has begun
-// to answer, so are the parts of its prompt.
-func (r *run) recordFailure(at *attempt, err error) {
+// recordFailure records and logs a failure of a target. If the connection was lost, the
+// request is suspect of having crashed the target. Before the target has begun to answer, so
+// are the parts of its prompt, provided that it has crashed: connections are lost for other
+// reasons, too.
+func (r *run) recordFailure(ctx context.Context, at *attempt, err error) {
 	g := r.g
 	var broken *BrokenError
 	lost := errors.As(err, &broken) && broken.Lost
+	if lost && at.events < answeringEvents {
+		ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+		lost = g.Targets.Crashed(ctx, at.target)
+		cancel()
+	}
 	now := g.Clock.Now()
 	g.mu.Lock()
 	g.placer.RecordOutcome(now, at.target.ID, true)
@@ -381,6 +388,9 @@
 	r.logFailure(at, err, crashes)
 }
 
+// crashCheckTimeout limits the check whether a target has crashed.
+const crashCheckTimeout = 250 * time.Millisecond
+
 // answeringEvents is the number of events after which a target is known not to crash on the
 // prompt. It may crash when it begins to answer, after it has sent the first event.
 const answeringEvents = 2
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -30,6 +30,7 @@
 	mu     sync.Mutex
 	script []func(ctx context.Context, call *gateway.Call) (gateway.Reply, error)
 	calls  []gateway.Call
+	alive  bool
 }
 
 func (f *fakeTargets) Send(ctx context.Context, call *gateway.Call) (gateway.Reply, error) {
@@ -41,6 +42,9 @@
 	return next(ctx, call)
 }
 
+// Crashed reports that a target has crashed, unless alive is set.
+func (f *fakeTargets) Crashed(context.Context, fleet.Target) bool { return !f.alive }
+
 func (f *fakeTargets) targets() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -64,12 +68,16 @@
 	hang bool
 	// notice is what the answer says about its target.
 	notice gateway.Notice
+	// unframed marks an answer that ends with its connection.
+	unframed bool
 }
 
 func (r *fakeReply) Head() work.Head {
 	return work.Head{Status: r.status, Header: http.Header{"Seal": {"s"}}}
 }
 
+func (r *fakeReply) Framed() bool { return !r.unframed }
+
 func (r *fakeReply) Notice() gateway.Notice { return r.notice }
 
 func (r *fakeReply) Next() (eventstream.Event, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 		ProbeEvery:      cfg.Slowness.ProbeEvery.Duration,
 		Seed:            g.rng.Uint64(),
 	})
-	g.suspects = retry.Suspects{Attempts: cfg.Retries.SuspectAttempts, TTL: cfg.Retries.SuspectTTL.Duration}
+	g.suspects = retry.Suspects{Attempts: cfg.Retries.SuspectAttempts, TTL: cfg.Retries.SuspectTTL.Duration, ProbeDelay: g.rng.Float64()}
 	g.budgets = map[string]*retry.Budget{}
 	g.weights = map[string]*modelWeights{}
 	g.swapping = map[string]bool{}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -38,6 +38,7 @@
 		if errors.Is(err, io.EOF) {
 			if r.begun || r.beginStream(reply) {
 				r.recordDone(at, http.StatusOK)
+				at.answered = at.events >= answeringEvents || reply.Framed()
 			}
 			return nil
 		}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -21,8 +21,10 @@
 	sink work.Sink
 	// request is the input of placement.
 	request placement.Request
-	// keys are what is suspect when a target crashes.
-	keys retry.Keys
+	// keys are what is suspect when a target crashes. probe is set while the request may run
+	// although one of them is blamed, until its first attempt fails.
+	keys  retry.Keys
+	probe bool
 	// possibleRuns counts the attempts that may have run on a target.
 	possibleRuns int
 	// attempts counts all attempts, also those that reached no target.
@@ -70,7 +72,7 @@
 		if err == nil {
 			return
 		}
-		r.lastErr = err
+		r.lastErr, r.probe = err, false
 		if final := r.afterFailure(ctx, at, err); final != nil {
 			r.finish(final)
 			return
@@ -110,12 +112,16 @@
 // refuseSuspect returns a failure if the request, or a part of its prompt, has crashed too
 // many targets.
 func (r *run) refuseSuspect() *failure.Error {
+	if r.probe {
+		return nil
+	}
 	r.g.mu.Lock()
 	now := r.g.Clock.Now()
-	key, refused := r.g.suspects.Refused(now, r.keys)
+	key, verdict := r.g.suspects.Check(now, r.keys)
 	crashes := r.g.suspects.CrashCount(now, key)
 	r.g.mu.Unlock()
-	if !refused {
+	r.probe = verdict == retry.Probe
+	if verdict != retry.Refused {
 		return nil
 	}
 	r.g.count("requests.refusedSuspect")
@@ -184,6 +190,6 @@
 	} else if ctx.Err() != nil {
 		return err
 	}
-	r.recordFailure(at, err)
+	r.recordFailure(ctx, at, err)
 	return err
 }
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -152,9 +152,10 @@
 func TestRetryDoesNotCrashFurtherTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		hosts := newCrashingHosts(t, 1)
-		hosts.serve("bad")
-		time.Sleep(time.Second)
-		hosts.serve("bad")
+		for range 2 {
+			hosts.serve("bad")
+			time.Sleep(time.Second)
+		}
 		w := promptRequest(100, "bad")
 		w.Route.Attempts, w.Route.Resumable = 3, true
 		s := hosts.list[0].serve(w)
@@ -180,6 +181,24 @@
 	}
 }
 
+// Requests that may run again, each of which crashes several targets at once, must not crash
+// more targets than others.
+func TestRepeatedRequestsWithPartAreRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := newCrashingHosts(t, 3)
+		for n := range 12 {
+			w := promptRequest(n, "system", "bad")
+			w.Route.Attempts, w.Route.Resumable = 2, true
+			hosts.list[n%3].serve(w)
+			hosts.exchange()
+			time.Sleep(time.Second)
+		}
+		if crashes := hosts.crashes(); crashes > 5 {
+			t.Errorf("%d requests with the part crashed targets, want at most 5", crashes)
+		}
+	})
+}
+
 // A failure that a target answers with doesn't show that the prompt is sound, as the target
 // may have failed before it began to write.
 func TestFailureDoesNotClearSuspects(t *testing.T) {
@@ -202,3 +221,43 @@
 		}
 	})
 }
+
+// Connections that alive targets reset, for example since they have too many, are no crashes.
+func TestLostConnectionsToAliveTargetsAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, fails(broken))
+		f.targets.alive = true
+		for n := range 6 {
+			f.serve(promptRequest(n, "system"))
+			time.Sleep(time.Second)
+		}
+		f.targets.script = []step{stream(1, 3, io.EOF)}
+		if s := f.serve(promptRequest(9, "system")); s.body != "123" {
+			t.Errorf("got %+v, want an answer", s)
+		}
+	})
+}
+
+// A stream that ends with its connection after its first event may have been broken off there.
+func TestShortUnframedAnswerDoesNotClearSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hosts := newCrashingHosts(t, 1)
+		f := hosts.list[0]
+		for range 2 {
+			hosts.serve("bad")
+			time.Sleep(time.Second)
+		}
+		f.targets.script = []step{func(context.Context, *gateway.Call) (gateway.Reply, error) {
+			return &fakeReply{status: 200, events: numbered(1, 1), last: io.EOF, unframed: true}, nil
+		}}
+		hosts.serve("bad")
+		f.targets.script = []step{hosts.engines.send}
+		for range 3 {
+			hosts.serve("bad")
+			time.Sleep(time.Second)
+		}
+		if crashes := hosts.crashes(); crashes != 3 {
+			t.Errorf("%d requests with the part crashed targets, want 3", crashes)
+		}
+	})
+}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -54,6 +54,9 @@
 	// Next returns the next event of a stream, or io.EOF at its end. Any other
 	// error means that the stream is incomplete.
 	Next() (eventstream.Event, error)
+	// Framed reports whether the answer has an end of its own. Otherwise it ends with its
+	// connection, so that an answer which was broken off may seem complete.
+	Framed() bool
 	// Body returns the complete body, or an error if it is incomplete.
 	Body() ([]byte, error)
 	// Close cancels the call if it is still running.
@@ -65,6 +68,9 @@
 	// Send returns when the answer begins. Errors are *NotRunError and
 	// *BrokenError.
 	Send(ctx context.Context, call *Call) (Reply, error)
+	// Crashed reports whether the process of a target is gone, since its address refuses
+	// connections. A target that can't be reached for another reason may be alive.
+	Crashed(ctx context.Context, t fleet.Target) bool
 }
 
 // NotRunError reports that a target has not run a request and never will.
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -170,7 +170,7 @@
 
 func encodeSuspect(s *retry.Suspect) *wire.Suspect {
 	encoded := &wire.Suspect{
-		Fingerprint: s.Key, Crashes: int32(len(s.Crashes)), AgeMillis: s.Age.Milliseconds(),
+		Fingerprint: s.Key, Crashes: int32(s.Count), AgeMillis: s.Age.Milliseconds(), Part: s.Part,
 		Answered: s.Answered, AnsweredAgeMillis: s.AnsweredAge.Milliseconds(),
 	}
 	for _, c := range s.Crashes {
@@ -179,26 +179,19 @@
 	return encoded
 }
 
-// decodeSuspects validates and converts suspects. Hosts of an earlier build report the
-// number of crashes without their targets.
+// decodeSuspects validates and converts suspects.
 func (r *Report) decodeSuspects(suspects []*wire.Suspect) error {
 	for _, s := range suspects {
 		if len(s.Fingerprint) > maxNameBytes || s.Crashes < 0 || s.AgeMillis < 0 || s.AnsweredAgeMillis < 0 || len(s.Targets) > maxCrashes {
 			return fmt.Errorf("peer report: suspect %.40q is out of range or its fingerprint is too long", s.Fingerprint)
 		}
-		age := time.Duration(s.AgeMillis) * time.Millisecond
-		decoded := retry.Suspect{Key: s.Fingerprint, Age: age, Answered: s.Answered, AnsweredAge: time.Duration(s.AnsweredAgeMillis) * time.Millisecond}
+		decoded := retry.Suspect{Key: s.Fingerprint, Part: s.Part, Age: time.Duration(s.AgeMillis) * time.Millisecond, Count: int(s.Crashes), Answered: s.Answered, AnsweredAge: time.Duration(s.AnsweredAgeMillis) * time.Millisecond}
 		for _, c := range s.Targets {
 			if len(c.Target) > maxNameBytes || c.AgeMillis < 0 {
 				return fmt.Errorf("peer report: a crash of suspect %.40q is out of range or the name of its target is too long", s.Fingerprint)
 			}
 			decoded.Crashes = append(decoded.Crashes, retry.Crash{Target: c.Target, Age: time.Duration(c.AgeMillis) * time.Millisecond})
 		}
-		if len(s.Targets) == 0 {
-			for i := range min(int(s.Crashes), maxCrashes) {
-				decoded.Crashes = append(decoded.Crashes, retry.Crash{Target: fmt.Sprintf("unnamed %d", i+1), Age: age})
-			}
-		}
 		r.Suspects = append(r.Suspects, decoded)
 	}
 	return nil
--- a/internal/peer/report_test.go
+++ b/internal/peer/report_test.go
@@ -19,7 +19,7 @@
 		Demands: []AccountDemand{{Account: "orders", TokensPerSecond: 10, InFlight: 2}},
 		Loads:   []placement.TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1, HeldTokens: 700}},
 		Suspects: []retry.Suspect{{
-			Key: "f00d", Age: time.Second, Crashes: []retry.Crash{{Target: "engine-1", Age: time.Second}, {Target: "engine-2", Age: 2 * time.Second}},
+			Key: "f00d", Part: true, Age: time.Second, Count: 2, Crashes: []retry.Crash{{Target: "engine-1", Age: time.Second}, {Target: "engine-2", Age: 2 * time.Second}},
 			Answered: true, AnsweredAge: time.Minute,
 		}},
 	}
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []retry.Suspect{{Key: "f00d", Age: time.Second, Crashes: []retry.Crash{{Target: "unnamed 1", Age: time.Second}, {Target: "unnamed 2", Age: time.Second}}}}
+	want := []retry.Suspect{{Key: "f00d", Age: time.Second, Count: 2}}
 	if diff := cmp.Diff(want, got.Suspects); diff != "" {
 		t.Errorf("suspects (-want +got):\n%s", diff)
 	}
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -12,27 +12,38 @@
 const (
 	// maxRecords is the maximum number of keys with a record.
 	maxRecords = 1024
-	// maxCrashes is the maximum number of crashes in a record.
+	// maxCrashes is the maximum number of crashes in a record, the latest ones.
 	maxCrashes = 16
+	// maxWithdrawn is the maximum number of withdrawn crashes in a record.
+	maxWithdrawn = 4
 	// sameCrashWithin is the time within which two failures of a target are one crash. A
 	// target that crashed takes longer to start again.
 	sameCrashWithin = 2 * time.Second
-	// answeredCrashes and answeredSpan are the crashes that a key with an earlier answer
-	// needs to be blamed, and the least time between the first and the last of them. Many
-	// targets may crash at once for another reason, and a key that is often used is then
-	// among the suspects of each.
-	answeredCrashes = 5
+	// momentGap is the least time between two moments at which targets crash. A part of
+	// prompts is not blamed for targets that crash at the same moment: they may have another
+	// cause in common, and a part that is often used is then suspect of each.
+	momentGap = 250 * time.Millisecond
+	// answeredMoments and answeredSpan are the moments that a part with an earlier answer
+	// needs to be blamed, and the least time between the first and the last crash.
+	answeredMoments = 5
 	answeredSpan    = 2 * time.Second
+	// explainingCrashes is the number of crashes from which another part explains the crashes
+	// that it shares with a part. certainFactor is the multiple of the usual moments from
+	// which a part is blamed all the same.
+	explainingCrashes = 2
+	certainFactor     = 2
 	// reportTolerance is by how much a time reported by a peer must be later than the known
-	// one. Times get later on their way, and would get later forever among hosts that
-	// report them to each other.
+	// one. A time gets later with each message, so hosts would renew it forever.
 	reportTolerance = time.Second
 	// answerReportTime is how long a record without crashes is kept, so that peers learn of
 	// the answer.
 	answerReportTime = 10 * time.Second
-	// maxRefusalTime is the time after the last crash at which a record expires, even if
-	// requests with its key are still refused.
-	maxRefusalTime = time.Hour
+	// probeAfter is the shortest time after a crash, or a probe, after which one request with
+	// a blamed key is let through to find out whether it still crashes targets.
+	// probeAnsweredAfter is that of a key that was answered before, and is more likely to be
+	// blamed for the crashes of others.
+	probeAfter         = 10 * time.Minute
+	probeAnsweredAfter = 10 * time.Second
 	// ignoreReportsFor is the time after Lift during which reports of peers about
 	// the key are ignored.
 	ignoreReportsFor = time.Minute
@@ -72,31 +83,41 @@
 }
 
 // Suspects finds requests and parts of prompts that crash targets. Each request that ran on
-// a target when it crashed is suspect with all its parts. A key is blamed once enough
-// targets have crashed under it since it was last part of an answered request. It is not
-// safe for concurrent use.
+// a target when it crashed is suspect with its parts. A key is blamed once enough targets
+// have crashed under it since it was last part of an answered request. It is not safe for
+// concurrent use.
 type Suspects struct {
 	// Attempts is the number of targets that a key may crash after the first one before it
 	// is blamed.
 	Attempts int
 	// TTL is the time after the last crash or refusal at which a record expires.
 	TTL time.Duration
+	// ProbeDelay is in [0, 1) and differs from host to host, so that hosts don't probe at the
+	// same time: it is the part of the shortest time by which this host probes later.
+	ProbeDelay float64
 
 	records  map[string]*record
 	answered answeredParts
 	// lifted maps a key to the time until which reports of peers about it are ignored.
 	lifted map[string]time.Time
+	// nextReported counts the records that were reported in turn.
+	nextReported int
 }
 
 // record contains what is known of one key.
 type record struct {
-	// crashes are the crashes since answeredAt, the earliest first.
-	crashes []crash
+	// part is set for a part of prompts.
+	part bool
+	// crashes are the latest crashes since answeredAt, the earliest first. withdrawn are
+	// those that were attributed to another request.
+	crashes, withdrawn []crash
 	// answeredAt is when a request with the key was last answered, zero if none is known.
 	answeredAt time.Time
 	// seenAt is when a request with the key last crashed a target, was answered or was
 	// refused.
 	seenAt time.Time
+	// probedAt is when this host last let a request through although the key is blamed.
+	probedAt time.Time
 }
 
 type crash struct {
@@ -115,22 +136,32 @@
 func (s *Suspects) RecordCrash(now time.Time, target string, keys Keys) (crashes int, blamed []string) {
 	for _, key := range keys.All() {
 		r := s.record(now, key)
-		before := s.blamed(r)
+		r.part = key != keys.Request
+		before := s.blamed(now, r)
 		r.addCrash(crash{target, now})
 		r.seenAt = now
 		crashes = max(crashes, len(r.crashes))
-		if !before && s.blamed(r) {
+		if !before && s.blamed(now, r) {
 			blamed = append(blamed, key)
 		}
 	}
 	return crashes, blamed
 }
 
-// WithdrawCrash removes the crash of a target from a key, after it was attributed to
-// another request.
+// WithdrawCrash removes the last crash of a target from a key, after it was attributed to
+// another request. Peers may still report it.
 func (s *Suspects) WithdrawCrash(target, key string) {
-	if r := s.records[key]; r != nil {
-		r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return c.target == target })
+	r := s.records[key]
+	if r == nil {
+		return
+	}
+	for i, c := range slices.Backward(r.crashes) {
+		if c.target == target {
+			r.crashes = slices.Delete(r.crashes, i, i+1)
+			r.withdrawn = append(r.withdrawn, c)
+			r.withdrawn = r.withdrawn[max(0, len(r.withdrawn)-maxWithdrawn):]
+			return
+		}
 	}
 }
 
@@ -146,19 +177,51 @@
 	}
 }
 
-// Refused reports whether a request must not be attempted, and the first of its keys that is
-// blamed, in the order of Keys.All. That extends the TTL of the key. Keys that are suspect of the same crashes can't be told apart:
-// only requests that have all of them are refused.
-func (s *Suspects) Refused(now time.Time, keys Keys) (key string, refused bool) {
-	for _, key := range keys.All() {
-		r := s.records[key]
-		if r == nil || s.expired(now, r) || !s.blamed(r) || s.lacksCompanion(now, r, &keys) {
+// Verdict says whether a request may be attempted.
+type Verdict int
+
+const (
+	// Accepted allows the request.
+	Accepted Verdict = iota
+	// Probe allows the request although a key is blamed, to find out whether it still crashes
+	// targets.
+	Probe
+	// Refused forbids the request.
+	Refused
+)
+
+// Check decides whether a request may be attempted, and returns the first of its keys that is
+// blamed, in the order of Keys.All. That extends the TTL of the key. Keys that are suspect of
+// the same crashes can't be told apart: only requests that have all of them are refused.
+func (s *Suspects) Check(now time.Time, keys Keys) (key string, verdict Verdict) {
+	for _, candidate := range keys.All() {
+		r := s.records[candidate]
+		if r == nil || s.expired(now, r) || !s.blamed(now, r) || s.lacksCompanion(now, r, &keys) {
 			continue
 		}
 		r.seenAt = now
-		return key, true
+		if !s.probeDue(now, r) {
+			return candidate, Refused
+		}
+		key, verdict = candidate, Probe
+	}
+	if verdict == Probe {
+		s.records[key].probedAt = now
 	}
-	return "", false
+	return key, verdict
+}
+
+// probeDue reports whether one request with a blamed key may be let through.
+func (s *Suspects) probeDue(now time.Time, r *record) bool {
+	last := r.crashes[len(r.crashes)-1].at
+	if r.probedAt.After(last) {
+		last = r.probedAt
+	}
+	after := probeAfter
+	if !r.answeredAt.IsZero() {
+		after = probeAnsweredAfter
+	}
+	return now.Sub(last) > time.Duration((1+s.ProbeDelay)*float64(after))
 }
 
 // lacksCompanion reports whether another key is suspect of all crashes of r, and isn't among
@@ -175,20 +238,60 @@
 // covers reports whether r contains all crashes of other.
 func (r *record) covers(other *record) bool {
 	for _, c := range other.crashes {
-		if !slices.ContainsFunc(r.crashes, c.same) {
+		if !r.contains(c) {
 			return false
 		}
 	}
 	return true
 }
 
-// blamed reports whether enough targets have crashed under a key.
-func (s *Suspects) blamed(r *record) bool {
-	n := len(r.crashes)
-	if n <= s.Attempts {
+func (r *record) contains(c crash) bool { return slices.ContainsFunc(r.crashes, c.same) }
+
+// blamed reports whether enough targets have crashed under a key. A request runs on one
+// target at a time, so each crash under it counts. Of a part, the moments count at which
+// targets crashed and which no other part explains.
+func (s *Suspects) blamed(now time.Time, r *record) bool {
+	if !r.part {
+		return len(r.crashes) > s.Attempts
+	}
+	needed := s.Attempts + 1
+	if !r.answeredAt.IsZero() {
+		needed = max(needed, answeredMoments)
+	}
+	all := moments(r.crashes)
+	if all < needed {
 		return false
 	}
-	return r.answeredAt.IsZero() || (n >= answeredCrashes && r.crashes[n-1].at.Sub(r.crashes[0].at) >= answeredSpan)
+	if !r.answeredAt.IsZero() && r.crashes[len(r.crashes)-1].at.Sub(r.crashes[0].at) < answeredSpan {
+		return false
+	}
+	return all >= certainFactor*needed || moments(s.unexplained(now, r)) >= needed
+}
+
+// moments returns the number of moments at which targets crashed.
+func moments(crashes []crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || c.at.Sub(last) >= momentGap {
+			n++
+			last = c.at
+		}
+	}
+	return n
+}
+
+// unexplained returns the crashes of r without those that another part explains, which was
+// never answered and is suspect of several of them, but not of all.
+func (s *Suspects) unexplained(now time.Time, r *record) []crash {
+	rest := slices.Clone(r.crashes)
+	for _, other := range s.records {
+		explains := other.part && other.answeredAt.IsZero() && len(other.crashes) >= explainingCrashes
+		if explains && !s.expired(now, other) && !other.covers(r) {
+			rest = slices.DeleteFunc(rest, other.contains)
+		}
+	}
+	return rest
 }
 
 // CrashCount returns the number of targets that crashed under a key since it was last
@@ -244,10 +347,10 @@
 }
 
 func (s *Suspects) expired(now time.Time, r *record) bool {
-	if len(r.crashes) == 0 {
+	if len(r.crashes)+len(r.withdrawn) == 0 {
 		return now.Sub(r.seenAt) > answerReportTime
 	}
-	return now.Sub(r.seenAt) > s.TTL || now.Sub(r.crashes[len(r.crashes)-1].at) > maxRefusalTime
+	return now.Sub(r.seenAt) > s.TTL
 }
 
 // evict deletes the expired records. If there are none, it deletes the one with the fewest
@@ -270,7 +373,7 @@
 
 // addCrash adds a crash after the last answer, unless it is known.
 func (r *record) addCrash(c crash) {
-	if !c.at.After(r.answeredAt) {
+	if !c.at.After(r.answeredAt) || slices.ContainsFunc(r.withdrawn, c.same) {
 		return
 	}
 	if i := slices.IndexFunc(r.crashes, c.same); i >= 0 {
@@ -281,7 +384,7 @@
 	}
 	r.crashes = append(r.crashes, c)
 	slices.SortFunc(r.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-	r.crashes = r.crashes[:min(maxCrashes, len(r.crashes))]
+	r.crashes = r.crashes[max(0, len(r.crashes)-maxCrashes):]
 }
 
 // addAnswer applies an answer reported by a peer.
@@ -296,10 +399,14 @@
 // differ.
 type Suspect struct {
 	Key string
+	// Part is set for a part of prompts.
+	Part bool
 	// Age is the time since a request with the key last crashed a target, was answered or
 	// was refused.
 	Age     time.Duration
 	Crashes []Crash
+	// Count is the number of crashes, also of those whose targets aren't known.
+	Count int
 	// AnsweredAge is the time since a request with the key was last answered. It is only
 	// valid if Answered is set.
 	Answered    bool
@@ -312,25 +419,44 @@
 	Age    time.Duration
 }
 
-// Report returns at most limit records for peers, those with several crashes first.
+// Report returns at most limit records for peers. One half of them are those without an
+// answer and with the most crashes, the other half takes turns.
 func (s *Suspects) Report(now time.Time, limit int) []Suspect {
-	var several, others []Suspect
+	type entry struct {
+		key    string
+		record *record
+	}
+	var list []entry
 	for key, r := range s.records {
-		switch {
-		case s.expired(now, r):
-		case len(r.crashes) > 1:
-			several = append(several, r.report(now, key))
-		case len(others) < limit:
-			others = append(others, r.report(now, key))
+		if !s.expired(now, r) {
+			list = append(list, entry{key, r})
 		}
 	}
-	slices.SortStableFunc(several, func(a, b Suspect) int { return cmp.Compare(len(b.Crashes), len(a.Crashes)) })
-	several = append(several, others...)
-	return several[:min(limit, len(several))]
+	slices.SortStableFunc(list, func(a, b entry) int { return cmp.Compare(b.record.weight(), a.record.weight()) })
+	first := min(limit/2, len(list))
+	rest := list[first:]
+	list = list[:first]
+	for range min(limit-first, len(rest)) {
+		s.nextReported++
+		list = append(list, rest[s.nextReported%len(rest)])
+	}
+	suspects := make([]Suspect, 0, len(list))
+	for _, e := range list {
+		suspects = append(suspects, e.record.report(now, e.key))
+	}
+	return suspects
+}
+
+// weight orders records in reports, the highest first.
+func (r *record) weight() int {
+	if r.answeredAt.IsZero() {
+		return len(r.crashes) + maxCrashes
+	}
+	return len(r.crashes)
 }
 
 func (r *record) report(now time.Time, key string) Suspect {
-	report := Suspect{Key: key, Age: now.Sub(r.seenAt), Answered: !r.answeredAt.IsZero()}
+	report := Suspect{Key: key, Part: r.part, Age: now.Sub(r.seenAt), Count: len(r.crashes), Answered: !r.answeredAt.IsZero()}
 	if report.Answered {
 		report.AnsweredAge = now.Sub(r.answeredAt)
 	}
@@ -348,7 +474,8 @@
 		return false
 	}
 	r := s.record(now, reported.Key)
-	before := s.blamed(r)
+	r.part = r.part || reported.Part
+	before := s.blamed(now, r)
 	if r.seenAt.IsZero() || seenAt.Sub(r.seenAt) > reportTolerance {
 		r.seenAt = seenAt
 	}
@@ -358,8 +485,14 @@
 	for _, c := range reported.Crashes {
 		r.addCrash(crash{c.Target, now.Add(-c.Age)})
 	}
-	if len(reported.Crashes) > 0 && len(r.crashes) == 0 {
+	if len(reported.Crashes) == 0 {
+		// Hosts of an earlier build name no targets, and count those that they were told of.
+		for n := len(r.crashes) + 1; n <= min(reported.Count, maxCrashes); n++ {
+			r.addCrash(crash{fmt.Sprintf("unnamed %d", n), seenAt})
+		}
+	}
+	if reported.Count > 0 && len(r.crashes) == 0 {
 		r.seenAt = now // The peer does not know of the answer.
 	}
-	return !before && s.blamed(r)
+	return !before && s.blamed(now, r)
 }
