Check requests that waited for admission for suspects again

Callers could see, on `serve`: requests that waited for admission while a prefix of theirs was found to crash targets ran all the same and crashed further ones. Cause: a request was checked when it came, not when it was placed. Change: it is checked before each placement, also of a retry.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -46,6 +46,9 @@
 	begin := r.d.Clock.Now()
 	until := begin.Add(r.d.Config.Admission.QueueWait.Duration)
 	for {
+		if key, refused := r.refusedKey(); refused {
+			return r.fail(failure.CrashesTargets, crashesTargetsFormat, key)
+		}
 		started, reason := r.start(ctx, "place")
 		if started {
 			return nil
--- a/internal/dispatch/generate_test.go
+++ b/internal/dispatch/generate_test.go
@@ -421,3 +421,28 @@
 		_ = d.Stop(t.Context())
 	})
 }
+
+// Requests that wait for admission while a prefix becomes known must not run after that.
+func TestWaitingRequestsAreRefusedWithTheirPrefix(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, crashes := newCrashingEngines()
+		d, stop := startDispatcher(t, e, newFakeEnvironment(t), func(cfg *config.Config) { cfg.Placement.BlockTokens = testBlockTokens })
+		defer stop()
+		var running sync.WaitGroup
+		for i := range 60 {
+			running.Go(func() {
+				prompt := testBlock("system ") + testBlock("bad ") + fmt.Sprint(i)
+				request := &dispatch.GenerationRequest{Account: fmt.Sprint("orders", i), Model: "m", Prompt: prompt, MaxTokens: 3}
+				if _, err := d.Generate(t.Context(), request, &textSink{}); err == nil {
+					t.Errorf("request %d was answered", i)
+				}
+			})
+		}
+		running.Wait()
+		// Both engines crash at about the same time.
+		if crashes() > 6 {
+			t.Errorf("%d crashes by 60 requests at once, want at most 6", crashes())
+		}
+		_ = d.Stop(t.Context())
+	})
+}
