Keep a silent target while no retry is possible

Cause: the attempt was cancelled first, and only then it was found out whether the request may and can go on elsewhere. Ruled out: the host had no shutdown, no end of its own and no cut link at that time, and the target went on working until it was cancelled ("200 cut"). Result: TestSilentTargetIsKeptWithoutAlternative fails before in both cases and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -133,12 +133,7 @@
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var at *attempt
-	if w.Model == "" {
-		at = g.tryVersion(now, req, w, plainVersion, 0)
-	} else {
-		at = g.chooseWeights(now, req, w)
-	}
+	at := g.chooseTarget(now, req, w)
 	if at == nil {
 		return nil, noChoice{why: "no target has loaded weights that requests may still use"}
 	}
@@ -159,6 +154,16 @@
 	return at, noChoice{}
 }
 
+// chooseTarget chooses a target and, for a request with a model, its weights. The decision of
+// the attempt may name no target. It returns nil if no loaded weights may be used. The lock
+// must be held.
+func (g *Gateway) chooseTarget(now time.Time, req *placement.Request, w *work.Work) *attempt {
+	if w.Model == "" {
+		return g.tryVersion(now, req, w, plainVersion, 0)
+	}
+	return g.chooseWeights(now, req, w)
+}
+
 // refusal describes why a decision names no target, with the values involved.
 func refusal(d *placement.Decision, req *placement.Request) string {
 	switch d.Reason {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -137,6 +137,29 @@
 	}
 }
 
+// pausing sends the events from to middle, pauses, and sends the rest up to last.
+func pausing(from, middle int64, pause time.Duration, last int64) step {
+	return func(ctx context.Context, _ *gateway.Call) (gateway.Reply, error) {
+		reply := &fakeReply{ctx: ctx, status: http.StatusOK, events: numbered(from, last), last: io.EOF}
+		return &pausingReply{fakeReply: reply, left: int(middle - from + 1), pause: pause}, nil
+	}
+}
+
+type pausingReply struct {
+	*fakeReply
+	// left is the number of events before the pause.
+	left  int
+	pause time.Duration
+}
+
+func (r *pausingReply) Next() (eventstream.Event, error) {
+	if r.left == 0 && clock.Sleep(r.ctx, clock.System{}, r.pause) != nil {
+		return eventstream.Event{}, r.ctx.Err()
+	}
+	r.left--
+	return r.fakeReply.Next()
+}
+
 func fails(err error) step {
 	return func(context.Context, *gateway.Call) (gateway.Reply, error) { return nil, err }
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -134,9 +134,12 @@
 	return e
 }
 
-// spendBudget takes one retry from the budget of the service, and reports
-// whether there was one.
+// spendBudget takes one retry from the budget of the service, unless it was taken when the
+// target was silent. It reports whether there was one.
 func (r *run) spendBudget() bool {
+	if r.alternative.taken.Swap(false) {
+		return true
+	}
 	r.g.mu.Lock()
 	defer r.g.mu.Unlock()
 	if r.g.budget(r.work.Service).Spend() {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -39,6 +39,9 @@
 	firstEvent, longestGap time.Duration
 	lastEventAt            time.Time
 	lastErr                error
+	// alternative is how the request can go on if the target of the present attempt is
+	// silent.
+	alternative *alternative
 }
 
 // Serve handles one request until it is answered, refused or aborted.
@@ -147,7 +150,14 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer r.g.finishAttempt(at)
-	wd := newWatchdog(r.silenceLimit(at), func() { cancel(errSilent) })
+	r.alternative = r.newAlternative(at)
+	wd := newWatchdog(r.silenceLimit(at), func() bool {
+		if ctx.Err() == nil && !r.alternative.take() {
+			return false
+		}
+		cancel(errSilent)
+		return true
+	})
 	defer wd.stop()
 	r.possibleRuns++
 	reply, err := r.g.Targets.Send(ctx, r.call(at))
--- a/internal/gateway/run_test.go
+++ b/internal/gateway/run_test.go
@@ -144,6 +144,41 @@
 	}
 }
 
+// A stream that pauses for long is kept if no other target can go on with it, or if the retry
+// budget is spent.
+func TestSilentTargetIsKeptWithoutAlternative(t *testing.T) {
+	for name, prepare := range map[string]func(f *fixture){
+		"no other target": func(f *fixture) {
+			f.requestVersion(2)
+			f.SetSwapping([]string{"e2"}, nil)
+		},
+		"budget spent": func(f *fixture) {
+			f.Config.Retries.BudgetPercent = 0
+			f.targets.script, f.targets.alive = []step{stream(1, 1, broken)}, true
+			for range 10 {
+				item := request(routing.Stream, 2)
+				item.Route.Resumable = true
+				f.serve(item)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, pausing(1, 2, 300*time.Millisecond, 4))
+				prepare(f)
+				f.targets.script = []step{pausing(1, 2, 300*time.Millisecond, 4)}
+				f.targets.calls = nil
+				item := request(routing.Stream, 2)
+				item.Route.Resumable = true
+				item.Route.Goal, item.Route.GapGoal = 20*time.Millisecond, 20*time.Millisecond
+				if s := f.serve(item); s.body != "1234" || len(f.targets.calls) != 1 {
+					t.Errorf("got %q after calls to %v, want 1234 after one", s.body, f.targets.targets())
+				}
+			})
+		})
+	}
+}
+
 // At its deadline, a request that no target received must be refused. One that
 // a target may have run must fail with a timeout.
 func TestDeadline(t *testing.T) {
