--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -363,12 +363,6 @@
 	return r.launch(ctx)
 }
 
-// mayBeCrash reports whether an attempt may have failed since its target crashed.
-func mayBeCrash(err error) bool {
-	var refusal *target.RefusalError
-	return !errors.As(err, &refusal) && !target.NotRun(err) && !endedLocally(err)
-}
-
 // classify records what a failed attempt says about its target. crashed is set if the target
 // has crashed before it had begun to answer. A retry is free if the target has done no work
 // for the request.
@@ -405,58 +399,6 @@
 	return true, false
 }
 
-// countCrash counts the crash of a target against the request. It does not if the
-// request had received tokens from the target, and the crash is attributed to a
-// suspect that had received none. The parts of the prompt are suspect if crashed is set. The
-// lock must be held.
-func (r *run) countCrash(at *attempt, crashed bool) {
-	now := r.d.Clock.Now()
-	if at.tokens > 0 && r.d.placer.CrashedBySuspect(now, at.ticket.Target) {
-		return
-	}
-	keys := r.keys
-	if !crashed {
-		keys.Parts = nil
-	}
-	_, blamed := r.d.suspects.RecordCrash(now, at.ticket.Target, keys)
-	for _, key := range blamed {
-		r.d.logBlamed(now, key, "crash")
-	}
-	r.request.Suspect = true
-	r.diedOn = ""
-	if at.tokens > 0 {
-		r.diedOn = at.ticket.Target
-	}
-}
-
-// refusedKey returns the blamed key by which the request must not be attempted again.
-func (r *run) refusedKey() (key string, refused bool) {
-	r.d.mu.Lock()
-	defer r.d.mu.Unlock()
-	return r.checkSuspects(r.d.Clock.Now())
-}
-
-// refuseTimeout limits the write that makes all hosts refuse a request.
-const refuseTimeout = 30 * time.Second
-
-// refuseOnAllHosts makes all hosts refuse requests with a key. Peers also receive the
-// suspect in reports, so a failed write is not fatal.
-func (r *run) refuseOnAllHosts(key string) {
-	d := r.d
-	until := d.Clock.Now().Add(d.Config.Retries.SuspectTTL.Duration).UTC()
-	d.Log.Warn().Str("part", "suspects").Str("requestId", r.id).Str("clientAccount", r.request.Account).
-		Str("fingerprint", key).Time("until", until).Msg("suspects: refusing the request on all hosts")
-	d.running.Add(1)
-	go func() {
-		defer d.running.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), refuseTimeout)
-		defer cancel()
-		if err := d.Refuser.Refuse(ctx, key, r.request.Account, until); err != nil {
-			d.Log.Warn().Str("part", "suspects").Str("fingerprint", key).Err(err).Msg("suspects: writing the refusal failed")
-		}
-	}()
-}
-
 func (r *run) spendRetry() bool {
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -104,32 +103,6 @@
 	nextReported int
 }
 
-// record contains what is known of one key.
-type record struct {
-	// part is set for a part of prompts.
-	part bool
-	// crashes are the latest crashes since answeredAt, the earliest first. withdrawn are
-	// those that were attributed to another request.
-	crashes, withdrawn []crash
-	// answeredAt is when a request with the key was last answered, zero if none is known.
-	answeredAt time.Time
-	// seenAt is when a request with the key last crashed a target, was answered or was
-	// refused.
-	seenAt time.Time
-	// probedAt is when this host last let a request through although the key is blamed.
-	probedAt time.Time
-}
-
-type crash struct {
-	target string
-	at     time.Time
-}
-
-// same reports whether c and d are the same crash.
-func (c crash) same(d crash) bool {
-	return c.target == d.target && c.at.Sub(d.at).Abs() < sameCrashWithin
-}
-
 // RecordCrash records that a target crashed while a request ran on it. It returns the
 // highest number of crashes of one of its keys since that was last answered, and the keys
 // that are blamed from now on.
@@ -235,18 +208,6 @@
 	return false
 }
 
-// covers reports whether r contains all crashes of other.
-func (r *record) covers(other *record) bool {
-	for _, c := range other.crashes {
-		if !r.contains(c) {
-			return false
-		}
-	}
-	return true
-}
-
-func (r *record) contains(c crash) bool { return slices.ContainsFunc(r.crashes, c.same) }
-
 // blamed reports whether enough targets have crashed under a key. A request runs on one
 // target at a time, so each crash under it counts. Of a part, the moments count at which
 // targets crashed and which no other part explains.
@@ -268,19 +229,6 @@
 	return all >= certainFactor*needed || moments(s.unexplained(now, r)) >= needed
 }
 
-// moments returns the number of moments at which targets crashed.
-func moments(crashes []crash) int {
-	n := 0
-	var last time.Time
-	for _, c := range crashes {
-		if n == 0 || c.at.Sub(last) >= momentGap {
-			n++
-			last = c.at
-		}
-	}
-	return n
-}
-
 // unexplained returns the crashes of r without those that another part explains, which was
 // never answered and is suspect of several of them, but not of all.
 func (s *Suspects) unexplained(now time.Time, r *record) []crash {
@@ -370,129 +318,3 @@
 		delete(s.records, fewest)
 	}
 }
-
-// addCrash adds a crash after the last answer, unless it is known.
-func (r *record) addCrash(c crash) {
-	if !c.at.After(r.answeredAt) || slices.ContainsFunc(r.withdrawn, c.same) {
-		return
-	}
-	if i := slices.IndexFunc(r.crashes, c.same); i >= 0 {
-		if c.at.Before(r.crashes[i].at) {
-			r.crashes[i].at = c.at
-		}
-		return
-	}
-	r.crashes = append(r.crashes, c)
-	slices.SortFunc(r.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-	r.crashes = r.crashes[max(0, len(r.crashes)-maxCrashes):]
-}
-
-// addAnswer applies an answer reported by a peer.
-func (r *record) addAnswer(at time.Time) {
-	later := slices.DeleteFunc(slices.Clone(r.crashes), func(c crash) bool { return !c.at.After(at) })
-	if at.Sub(r.answeredAt) > reportTolerance || len(later) < len(r.crashes) {
-		r.answeredAt, r.crashes = at, later
-	}
-}
-
-// Suspect is what one host tells others of a key. Hosts exchange ages, since their clocks
-// differ.
-type Suspect struct {
-	Key string
-	// Part is set for a part of prompts.
-	Part bool
-	// Age is the time since a request with the key last crashed a target, was answered or
-	// was refused.
-	Age     time.Duration
-	Crashes []Crash
-	// Count is the number of crashes, also of those whose targets aren't known.
-	Count int
-	// AnsweredAge is the time since a request with the key was last answered. It is only
-	// valid if Answered is set.
-	Answered    bool
-	AnsweredAge time.Duration
-}
-
-// Crash is the crash of a target.
-type Crash struct {
-	Target string
-	Age    time.Duration
-}
-
-// Report returns at most limit records for peers. One half of them are those without an
-// answer and with the most crashes, the other half takes turns.
-func (s *Suspects) Report(now time.Time, limit int) []Suspect {
-	type entry struct {
-		key    string
-		record *record
-	}
-	var list []entry
-	for key, r := range s.records {
-		if !s.expired(now, r) {
-			list = append(list, entry{key, r})
-		}
-	}
-	slices.SortStableFunc(list, func(a, b entry) int { return cmp.Compare(b.record.weight(), a.record.weight()) })
-	first := min(limit/2, len(list))
-	rest := list[first:]
-	list = list[:first]
-	for range min(limit-first, len(rest)) {
-		s.nextReported++
-		list = append(list, rest[s.nextReported%len(rest)])
-	}
-	suspects := make([]Suspect, 0, len(list))
-	for _, e := range list {
-		suspects = append(suspects, e.record.report(now, e.key))
-	}
-	return suspects
-}
-
-// weight orders records in reports, the highest first.
-func (r *record) weight() int {
-	if r.answeredAt.IsZero() {
-		return len(r.crashes) + maxCrashes
-	}
-	return len(r.crashes)
-}
-
-func (r *record) report(now time.Time, key string) Suspect {
-	report := Suspect{Key: key, Part: r.part, Age: now.Sub(r.seenAt), Count: len(r.crashes), Answered: !r.answeredAt.IsZero()}
-	if report.Answered {
-		report.AnsweredAge = now.Sub(r.answeredAt)
-	}
-	for _, c := range r.crashes {
-		report.Crashes = append(report.Crashes, Crash{Target: c.target, Age: now.Sub(c.at)})
-	}
-	return report
-}
-
-// Merge adds what another host tells of a key to what is known of it. It reports whether the
-// key is blamed from now on.
-func (s *Suspects) Merge(now time.Time, reported Suspect) (blamed bool) {
-	seenAt := now.Add(-reported.Age)
-	if now.Before(s.lifted[reported.Key]) || now.Sub(seenAt) > s.TTL {
-		return false
-	}
-	r := s.record(now, reported.Key)
-	r.part = r.part || reported.Part
-	before := s.blamed(now, r)
-	if r.seenAt.IsZero() || seenAt.Sub(r.seenAt) > reportTolerance {
-		r.seenAt = seenAt
-	}
-	if reported.Answered {
-		r.addAnswer(now.Add(-reported.AnsweredAge))
-	}
-	for _, c := range reported.Crashes {
-		r.addCrash(crash{c.Target, now.Add(-c.Age)})
-	}
-	if len(reported.Crashes) == 0 {
-		// Hosts of an earlier build name no targets, and count those that they were told of.
-		for n := len(r.crashes) + 1; n <= min(reported.Count, maxCrashes); n++ {
-			r.addCrash(crash{fmt.Sprintf("unnamed %d", n), seenAt})
-		}
-	}
-	if reported.Count > 0 && len(r.crashes) == 0 {
-		r.seenAt = now // The peer does not know of the answer.
-	}
-	return !before && s.blamed(now, r)
-}
