Watch a silent attempt by its own alternative

Callers could see nothing. The function of an attempt's watchdog read the field of the run, which the next attempt replaces while a late call may still run: a data race that no run has shown. Change: it uses the alternative of its own attempt; the comment of Gateway.Requested has its name. Result: go test -race ./internal/gateway passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,7 +44,7 @@
 	Fleet   *fleet.View
 	Ledger  LedgerWriter
 	Freer   PartFreer
-	// Requests contains the weight versions that operators request.
+	// Requested contains the weight versions that operators request.
 	Requested *rollout.RequestedVersions
 	// HostCount returns the number of live entry hosts. If it is nil, few hosts are
 	// assumed.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -150,9 +150,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer r.g.finishAttempt(at)
-	r.alternative = r.newAlternative(at)
+	alternative := r.newAlternative(at)
+	r.alternative = alternative
 	wd := newWatchdog(r.silenceLimit(at), func() bool {
-		if ctx.Err() == nil && !r.alternative.take() {
+		if ctx.Err() == nil && !alternative.take() {
 			return false
 		}
 		cancel(errSilent)
