Count each crash under one request

Cause: failures of a target within 2 s are taken for one crash, as hosts see the same crash at different times. A request runs on one target at a time, though: request one-dnc45n4li1pg-l crashed engine-1 at 44.96 s, it was back after a second, and the same request crashed it again at 46.09 s. Change: on the host that runs it, each crash under a request counts; for parts, and for what peers report, nothing changes.

--- a/internal/retry/suspectrecord.go
+++ b/internal/retry/suspectrecord.go
@@ -67,6 +67,10 @@
 		}
 		return
 	}
+	r.insertCrash(c)
+}
+
+func (r *record) insertCrash(c crash) {
 	r.crashes = append(r.crashes, c)
 	slices.SortFunc(r.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 	r.crashes = r.crashes[max(0, len(r.crashes)-maxCrashes):]
--- a/internal/retry/suspects.go
+++ b/internal/retry/suspects.go
@@ -111,7 +111,11 @@
 		r := s.record(now, key)
 		r.part = key != keys.Request
 		before := s.blamed(now, r)
-		r.addCrash(crash{target, now})
+		if r.part {
+			r.addCrash(crash{target, now})
+		} else {
+			r.insertCrash(crash{target, now}) // Each attempt of a request is a crash of its own.
+		}
 		r.seenAt = now
 		crashes = max(crashes, len(r.crashes))
 		if !before && s.blamed(now, r) {
--- a/internal/retry/suspects_test.go
+++ b/internal/retry/suspects_test.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// A request that crashes a target again, soon after that has restarted, has crashed it twice.
+func TestRequestCrashesSameTargetAgain(t *testing.T) {
+	s := newSuspects()
+	for i := range 3 {
+		s.RecordCrash(begin.Add(time.Duration(i)*1100*time.Millisecond), "t", request("f"))
+	}
+	if now := begin.Add(3 * time.Second); !isRefused(s, now, request("f")) {
+		t.Errorf("not refused after 3 crashes of one target, count %d", s.CrashCount(now, "f"))
+	}
+}
+
 // Crashes of different targets that hosts see are added up. One crash counts once, also if
 // several hosts had requests on the target.
 func TestCrashesOfHostsAreAddedUp(t *testing.T) {
