Make two tests fail without what they are about

Cause: with their mechanism switched off, two new tests passed. All crashes of TestPartsOfRunningStreamAreNotSuspect came at one instant, which blames no part anyway, and TestTimesAreKnownOnceServiceAnswers got its row again each 100 ms, which the feed of the table service doesn't send. Change: the first checks what a host reports after one stream broke off 100 ms after its second event; in the second, hosts get a row only when it has changed. Both are stricter than before. Two tests of what doesn't clear suspects share their steps. No code differs.

--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/gateway"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
@@ -170,15 +172,22 @@
 
 // A target that breaks off an answer after its second event has not crashed on the prompt.
 func TestPartsOfRunningStreamAreNotSuspect(t *testing.T) {
-	f := newFixture(t, stream(1, 2, broken))
-	for n := range 6 {
-		f.serve(promptRequest(n, "system"))
-	}
-	f.targets.script = []step{stream(1, 3, io.EOF)}
-	f.targets.calls = nil
-	if s := f.serve(promptRequest(9, "system")); s.body != "123" {
-		t.Errorf("got %+v, want an answer", s)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, func(ctx context.Context, _ *gateway.Call) (gateway.Reply, error) {
+			reply := &fakeReply{ctx: ctx, status: 200, events: numbered(1, 2), last: broken}
+			return &pausingReply{fakeReply: reply, left: 2, pause: 100 * time.Millisecond}, nil
+		})
+		f.serve(promptRequest(1, "system"))
+		var suspects []string
+		for _, s := range f.PeerReport().Suspects {
+			if s.Count > 0 {
+				suspects = append(suspects, s.Key)
+			}
+		}
+		if diff := cmp.Diff([]string{"f1"}, suspects); diff != "" {
+			t.Errorf("suspects (-want +got):\n%s", diff)
+		}
+	})
 }
 
 // Requests that may run again, each of which crashes several targets at once, must not crash
@@ -199,9 +208,10 @@
 	})
 }
 
-// A failure that a target answers with doesn't show that the prompt is sound, as the target
-// may have failed before it began to write.
-func TestFailureDoesNotClearSuspects(t *testing.T) {
+// expectNotCleared fails the test if an answer to a request with the part "bad" clears what is
+// suspect of two crashes before it.
+func expectNotCleared(t *testing.T, answer step) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		hosts := newCrashingHosts(t, 1)
 		f := hosts.list[0]
@@ -209,7 +219,7 @@
 			hosts.serve("bad")
 			time.Sleep(time.Second)
 		}
-		f.targets.script = []step{answer(500, "no")}
+		f.targets.script = []step{answer}
 		hosts.serve("bad")
 		f.targets.script = []step{hosts.engines.send}
 		for range 3 {
@@ -222,6 +232,19 @@
 	})
 }
 
+// A failure that a target answers with doesn't show that the prompt is sound, as the target
+// may have failed before it began to write.
+func TestFailureDoesNotClearSuspects(t *testing.T) {
+	expectNotCleared(t, answer(500, "no"))
+}
+
+// A stream that ends with its connection after its first event may have been broken off there.
+func TestShortUnframedAnswerDoesNotClearSuspects(t *testing.T) {
+	expectNotCleared(t, func(context.Context, *gateway.Call) (gateway.Reply, error) {
+		return &fakeReply{status: 200, events: numbered(1, 1), last: io.EOF, unframed: true}, nil
+	})
+}
+
 // Connections that alive targets reset, for example since they have too many, are no crashes.
 func TestLostConnectionsToAliveTargetsAreNoCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -237,27 +260,3 @@
 		}
 	})
 }
-
-// A stream that ends with its connection after its first event may have been broken off there.
-func TestShortUnframedAnswerDoesNotClearSuspects(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		hosts := newCrashingHosts(t, 1)
-		f := hosts.list[0]
-		for range 2 {
-			hosts.serve("bad")
-			time.Sleep(time.Second)
-		}
-		f.targets.script = []step{func(context.Context, *gateway.Call) (gateway.Reply, error) {
-			return &fakeReply{status: 200, events: numbered(1, 1), last: io.EOF, unframed: true}, nil
-		}}
-		hosts.serve("bad")
-		f.targets.script = []step{hosts.engines.send}
-		for range 3 {
-			hosts.serve("bad")
-			time.Sleep(time.Second)
-		}
-		if crashes := hosts.crashes(); crashes != 3 {
-			t.Errorf("%d requests with the part crashed targets, want 3", crashes)
-		}
-	})
-}
--- a/internal/rollout/recorder_test.go
+++ b/internal/rollout/recorder_test.go
@@ -67,6 +67,8 @@
 	*rollout.Recorder
 	table *tableOfHost
 	holds bool
+	// received is the version of the row that the host has received.
+	received int64
 }
 
 // runRecorders runs hosts in front of targets with version 1 until scenario returns. The
@@ -105,12 +107,14 @@
 	})
 }
 
+// receive passes on the row if it has changed, as the feed of the shared table does.
 func (h *recordingHost) receive(full bool) {
 	h.table.mu.Lock()
 	row := h.table.row
 	h.table.mu.Unlock()
 	switch {
-	case row.Version > 0:
+	case row.Version > h.received:
+		h.received = row.Version
 		h.ApplyRows([]platform.Row{row}, full)
 	case full:
 		h.ApplyRows(nil, true)
