Pass on rows whose value isn't JSON between hosts

Cause: above 12 hosts, five read the tables and the others ask their peers for the rows after the newest one they know. A peer encoded each row as JSON including its value as it stands. The value of a removed row is empty and that of a row from another writer can be any bytes, so the encoding failed, and with it the whole answer: no later row passed either, such as that of a target that is leaving. A host then learned of it only when it next read the table service by itself. Class: one element that can't be encoded fails the message that carries it. Why this works: a value that isn't JSON goes in a field of its own. A host of an earlier build reads the row without it: a removal stays one, an invalid row stays invalid.

--- a/internal/peer/tables.go
+++ b/internal/peer/tables.go
@@ -74,8 +74,8 @@
 	}
 	page := platform.Page{Version: response.Version, Era: response.Era, Whole: response.Whole}
 	for _, data := range response.Rows {
-		var row platform.Row
-		if err := json.Unmarshal(data, &row); err != nil {
+		row, err := decodeRow(data)
+		if err != nil {
 			return platform.Page{}, fmt.Errorf("decoding a row from peer %s: %w", best.Name, err)
 		}
 		page.Rows = append(page.Rows, row)
@@ -83,6 +83,37 @@
 	return page, nil
 }
 
+// relayedRow is a row in a message between hosts. Hosts of earlier builds ignore Raw.
+type relayedRow struct {
+	platform.Row
+
+	// Raw is the value of a row whose value isn't JSON, which Row can't contain when it is
+	// encoded. Other writers of a table can leave such rows.
+	Raw []byte `json:"raw,omitempty"`
+}
+
+// encodeRow encodes a row for a peer. The value may be empty, as in a removed row, or
+// any bytes.
+func encodeRow(row platform.Row) ([]byte, error) {
+	relayed := relayedRow{Row: row}
+	if !json.Valid(row.Value) {
+		relayed.Value, relayed.Raw = nil, row.Value
+	}
+	return json.Marshal(relayed)
+}
+
+// decodeRow decodes a row from a peer. A value of null is decoded as an empty one.
+func decodeRow(data []byte) (platform.Row, error) {
+	var relayed relayedRow
+	if err := json.Unmarshal(data, &relayed); err != nil {
+		return platform.Row{}, err
+	}
+	if string(relayed.Value) == "null" {
+		relayed.Value = relayed.Raw
+	}
+	return relayed.Row, nil
+}
+
 // Rows returns rows of a table from this host's copy.
 func (s *server) Rows(_ context.Context, request *wire.RowsRequest) (*wire.RowsResponse, error) {
 	if s.group.Tables == nil {
@@ -94,7 +125,7 @@
 	}
 	response := &wire.RowsResponse{Version: page.Version, Era: page.Era, Whole: page.Whole}
 	for _, row := range page.Rows {
-		data, err := json.Marshal(row)
+		data, err := encodeRow(row)
 		if err != nil {
 			return nil, twirp.InternalErrorWith(err)
 		}
