Add a failing test for removals that peers never learn of

Change: a follower reads the service, a second one follows it. A row is removed while the service discards its history. The second one has to drop it, also if it reads the service later.

--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -470,3 +471,64 @@
 		})
 	}
 }
+
+// peerCopy is the copy of a follower as a peer sees it.
+type peerCopy struct {
+	*platform.Follower
+}
+
+func (c peerCopy) NewestPeerPosition(string) platform.Position { return c.Newest() }
+
+func (c peerCopy) PeerRows(_ context.Context, _ string, after platform.Position) (platform.Page, error) {
+	page, ok := c.RowsAfter(after)
+	if !ok {
+		return page, errUnavailable
+	}
+	return page, nil
+}
+
+// A removal that a host only sees by reading the table again must reach the hosts behind it.
+func TestRemovalInDiscardedHistoryReachesPeers(t *testing.T) {
+	if os.Getenv("SASSAFRASPLANK_KNOWN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+	for name, becomesReader := range map[string]bool{"through the peer": false, "by reading the service later": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				feed, known, unused := &fakeFeed{rows: map[string]platform.Row{}}, &tableCopy{}, &tableCopy{}
+				feed.put("a", "1")
+				feed.put("b", "2")
+				var reads atomic.Bool
+				quiet := &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+				reader := &platform.Follower{Client: feed, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: unused.apply, Log: quiet}
+				f := &platform.Follower{
+					Client: feed, Relay: peerCopy{reader}, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply,
+					ReadsService: reads.Load, Log: quiet,
+				}
+				ctx, end := context.WithCancel(context.Background())
+				var running sync.WaitGroup
+				for _, follower := range []*platform.Follower{reader, f} {
+					running.Go(func() { _ = follower.Run(ctx) })
+				}
+				time.Sleep(time.Second)
+				feed.set(func() {
+					delete(feed.rows, "a")
+					feed.version += 10
+					feed.oldest = feed.version
+				})
+				if becomesReader {
+					feed.put("c", "3")
+				}
+				time.Sleep(2 * time.Second)
+				reads.Store(becomesReader)
+				time.Sleep(2 * time.Second)
+				want := map[bool]string{false: "b=2 ", true: "b=2 c=3 "}[becomesReader]
+				if diff := cmp.Diff(want, known.text()); diff != "" {
+					t.Errorf("copy (-want +got):\n%s", diff)
+				}
+				end()
+				running.Wait()
+			})
+		})
+	}
+}
