Tell peers which rows are gone after a table was read again

Callers saw: requests that reached targets which had left (DRAIN), for good on some hosts. Cause: a host whose history the service discarded reads the table again and sees which rows are gone only by what the table lacks. It has no rows of their removal, so peers that ask it get none. They also took over the position up to which it had read, and so missed the removal when they read the service themselves later. The same holds for a host that starts, and for removals that are old enough to be dropped. Class: a list of changes is taken from a complete copy, which says nothing of what is gone. Why this works: a copy knows since which version it has every removal. Who asks for changes since an earlier one gets the complete table. A host that misses rows after reading a table again reports its position as news, so that peers ask. Bounds: a host gets the complete table once for each such position that it hears of, and asks from the position of its own last complete read, so hosts that start don't cause it among each other.

--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -84,10 +84,14 @@
 	rows map[string]Row
 	// removed is the number of removed rows in rows.
 	removed int
-	// newest is the position of the newest row received.
+	// newest is the position of the newest change that the copy is known to include. Peers that
+	// know an earlier one ask for the rows after it.
 	newest Position
 	// after is the position from which the feed continues. Its era is that of the copy.
 	after Position
+	// completeSince is the version since which rows holds every removed row. It is the version
+	// at which the table was last read completely, or the last one whose tombstone was dropped.
+	completeSince int64
 	// completeMillis is the clock of the service at the last answer of which this copy has
 	// all rows, or at the last failed call of an outage after it. It is 0 if no answer is
 	// known.
@@ -220,9 +224,7 @@
 		f.removed++
 	}
 	f.rows[row.Key] = row
-	if row.Position().After(f.newest) {
-		f.newest = row.Position()
-	}
+	f.raiseNewest(row.Position())
 	if f.removed > maxTombstones {
 		f.dropOldTombstones()
 	}
@@ -233,6 +235,7 @@
 // newest one. The caller must hold f.mu.
 func (f *Follower) dropOldTombstones() {
 	middle := f.newest.Version / 2
+	f.completeSince = max(f.completeSince, middle)
 	for key, row := range f.rows {
 		if row.Removed && row.Version <= middle {
 			delete(f.rows, key)
@@ -266,14 +269,15 @@
 		scan.After = page.Rows[len(page.Rows)-1].Key
 	}
 	f.answered()
-	f.applyAll(rows, start, startMillis)
+	f.applyAll(rows, start, startMillis, Position{})
 	return nil
 }
 
 // applyAll applies the complete table as read at a position, when the clock of the service
 // showed millis, 0 if that isn't known. If the copy is later, since a peer has sent later
-// changes meanwhile, it is kept.
-func (f *Follower) applyAll(rows []Row, at Position, millis int64) {
+// changes meanwhile, it is kept. newest is the newest change that peers have reported and that
+// the table includes, or the zero position for a table that was read from the service.
+func (f *Follower) applyAll(rows []Row, at Position, millis int64, newest Position) {
 	f.mu.Lock()
 	restored := f.loaded && at.Era > f.after.Era
 	f.mu.Unlock()
@@ -286,13 +290,15 @@
 	defer f.mu.Unlock()
 	if f.after.After(at) {
 		f.loaded = true
+		f.raiseNewest(newest)
 		return
 	}
 	before, completeBefore := f.rows, f.completeMillis
 	if at.Era != f.after.Era {
 		completeBefore = 0 // A service that was restored may have another clock.
 	}
-	f.rows, f.removed, f.newest, f.completeMillis = map[string]Row{}, 0, Position{Era: at.Era}, millis
+	f.rows, f.removed, f.newest = map[string]Row{}, 0, Position{Era: at.Era}
+	f.completeSince, f.completeMillis = at.Version, max(millis, completeBefore)
 	listed := make([]Row, 0, len(rows))
 	for _, row := range rows {
 		row.WrittenAfterMillis = max(row.WrittenAfterMillis, completeBefore)
@@ -304,11 +310,35 @@
 			listed = append(listed, row)
 		}
 	}
+	if newest == (Position{}) && f.lost(before) {
+		// Peers have to ask for the rows that the table no longer has.
+		newest = at
+	}
+	f.raiseNewest(newest)
 	f.after = at
 	f.loaded = true
 	f.Apply(listed, true)
 }
 
+// raiseNewest records that the copy includes all changes up to a position. The caller must
+// hold f.mu.
+func (f *Follower) raiseNewest(to Position) {
+	if to.After(f.newest) {
+		f.newest = to
+	}
+}
+
+// lost reports whether the copy lacks one of the rows that it had before. The caller must
+// hold f.mu.
+func (f *Follower) lost(before map[string]Row) bool {
+	for key, row := range before {
+		if _, known := f.rows[key]; !known && !row.Removed {
+			return true
+		}
+	}
+	return false
+}
+
 // relay fetches from a peer the rows that the service has not sent to this host.
 func (f *Follower) relay(ctx context.Context) {
 	ahead := f.Relay.NewestPeerPosition(f.Table)
@@ -316,6 +346,7 @@
 	f.mu.Lock()
 	newest, loaded := f.newest, f.loaded
 	newest.Era = f.after.Era
+	from := Position{Era: newest.Era, Version: max(newest.Version, f.completeSince)}
 	if !ahead.After(newest) {
 		f.aheadSince = time.Time{}
 	} else if f.aheadSince.IsZero() {
@@ -327,16 +358,20 @@
 	if !due && (!behind || f.readsService()) {
 		return
 	}
-	page, err := f.Relay.PeerRows(ctx, f.Table, newest)
+	page, err := f.Relay.PeerRows(ctx, f.Table, from)
 	if err != nil {
 		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("era", newest.Era).Err(err).
 			Msg("follower: reading rows from a peer failed")
 		return
 	}
 	f.Log.Info().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("ahead", ahead.Version).
-		Int64("era", ahead.Era).Int("rows", len(page.Rows)).Msg("follower: received rows from a peer")
+		Int64("era", ahead.Era).Int("rows", len(page.Rows)).Bool("whole", page.Whole).Msg("follower: received rows from a peer")
 	if !loaded || page.Whole {
-		f.applyAll(page.Rows, Position{Era: page.Era, Version: page.Version}, 0)
+		at := Position{Era: page.Era, Version: page.Version}
+		if ahead.After(at) {
+			ahead = at
+		}
+		f.applyAll(page.Rows, at, 0, ahead)
 		return
 	}
 	f.merge(page)
@@ -358,17 +393,19 @@
 	return f.newest
 }
 
-// RowsAfter returns the known rows that are later than after, or all of them if after is
-// of an earlier era. It returns false if the table has not been read yet.
+// RowsAfter returns the known rows that are later than after. It returns the complete copy if
+// after is of an earlier era, or if rows removed since then aren't known. It returns false if
+// the table has not been read yet.
 func (f *Follower) RowsAfter(after Position) (Page, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.loaded {
 		return Page{}, false
 	}
-	page := Page{Version: f.after.Version, Era: f.after.Era, Whole: after.Era < f.after.Era}
+	page := Page{Version: f.after.Version, Era: f.after.Era}
+	page.Whole = after.Era < f.after.Era || after.Era == f.after.Era && after.Version < f.completeSince
 	for _, row := range f.rows {
-		if row.Position().After(after) {
+		if page.Whole || row.Position().After(after) {
 			page.Rows = append(page.Rows, row)
 		}
 	}
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -489,9 +488,6 @@
 
 // A removal that a host only sees by reading the table again must reach the hosts behind it.
 func TestRemovalInDiscardedHistoryReachesPeers(t *testing.T) {
-	if os.Getenv("SASSAFRASPLANK_KNOWN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
 	for name, becomesReader := range map[string]bool{"through the peer": false, "by reading the service later": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -532,3 +528,35 @@
 		})
 	}
 }
+
+// A peer that asks for rows since a removal whose row was dropped must get the complete table.
+func TestDroppedRemovalsAreNotHiddenFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, known := &fakeFeed{rows: map[string]platform.Row{}}, &tableCopy{}
+		feed.put("a", "1")
+		f := &platform.Follower{
+			Client: feed, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply,
+			Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		}
+		ctx, end := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(time.Second)
+		const removals = 1200
+		for i := range removals {
+			key := fmt.Sprint("k", i)
+			feed.put(key, "1")
+			feed.remove(key)
+		}
+		time.Sleep(time.Second)
+		for after, whole := range map[int64]bool{2: true, 2 * removals: false} {
+			if page, ok := f.RowsAfter(platform.Position{Version: after}); !ok || page.Whole != whole {
+				t.Errorf("rows after version %d: complete %t, want %t", after, page.Whole, whole)
+			}
+		}
+		end()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
