Count the processor time of a host in its metrics

Callers saw too little served on 295 hosts (SHORT). The logs tell how many requests a host serves, not what it spends, so a host that is busy with others than its callers can't be told from one that has too many of them. process.cpuMicros counts both; requests are counted already.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -130,6 +130,7 @@
 	cfg := h.Config
 	incarnation := h.Clock.Now().UnixNano()
 	h.metrics = metrics.NewRegistry()
+	metrics.NewRegisteredFunctionalGauge("process.cpuMicros", h.metrics, processorMicros)
 	h.table = &platform.Client{
 		HTTP: &http.Client{Transport: h.Transport}, Codec: h.Codec, TableURL: cfg.Table.URL,
 		Timeout: cfg.Table.CallTimeout.Duration,
