Add failing tests for what a host spends per host and target

Change: the count of live members must cost the same with 10 and 1,000 of them; a host with 240 engines must not work out 20 times a second which of them it polls. A host counts its peers once for each target and scan, so what it spends grows with hosts times targets: at 295 hosts and 289 sources 5,780 counts of some 7 µs a second, computed.

--- a/internal/gateway/cacherelay_test.go
+++ b/internal/gateway/cacherelay_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -236,3 +238,42 @@
 		t.Errorf("got %d events for a position of another epoch, want %d", len(u.Events), maxLogEvents)
 	}
 }
+
+// The groups that a host polls must not be worked out again at each look for new engines.
+func TestPolledGroupsAreKeptBetweenScans(t *testing.T) {
+	if os.Getenv("SASSAFRASPLANK_KNOWN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+	const engines, seconds = 240, 10
+	synctest.Test(t, func(t *testing.T) {
+		g, _, _ := newStoreGateway(t)
+		g.Clock, g.Steady = clock.System{}, clock.System{}
+		var calls atomic.Int64
+		g.HostCount = func() int {
+			calls.Add(1)
+			return 295
+		}
+		group := &hostGroup{hosts: map[string]*Gateway{}, down: map[string]bool{}}
+		for i := range 20 {
+			group.hosts[fmt.Sprint("peer-", i)] = g
+		}
+		g.CacheRelay = hostRelay{group, "host"}
+		g.SetRoutes(&routing.Config{Version: 2, Services: map[string]routing.Service{
+			"loom": {Name: "loom", Engine: &routing.Engine{Slots: 16, MaxEventCalls: 12}},
+		}})
+		for i := range engines {
+			g.Fleet.Put(fleet.Target{ID: fmt.Sprint("e", i), Service: "loom", Address: "10.0.0.1:1", Slots: 16, Versions: map[string]int64{"m": 1}})
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), seconds*time.Second)
+		defer cancel()
+		source := &eventSource{epoch: 1, limit: 12 * engines}
+		calls.Store(0)
+		g.WatchCaches(ctx, source)
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		checks := int64(engines * 2 * seconds * time.Second / roleInterval)
+		if n := calls.Load() - int64(2*source.polls); n > checks {
+			t.Errorf("hosts were counted %d times in %d s for %d engines, want at most %d", n, seconds, engines, checks)
+		}
+	})
+}
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
@@ -180,3 +181,31 @@
 		})
 	}
 }
+
+// The cost of AliveCount must not grow with the members: hosts call it for each target.
+func TestAliveCountCostsTheSameWithManyMembers(t *testing.T) {
+	if os.Getenv("SASSAFRASPLANK_KNOWN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+	const calls = 20_000
+	measure := func(members int) time.Duration {
+		table := newTable(0, 1)
+		for i := range members {
+			table.Merge(time.Time{}, []membership.Member{{Name: fmt.Sprint(i), Incarnation: 1}})
+		}
+		best := time.Hour
+		for range 3 {
+			began := time.Now()
+			for range calls {
+				if n := table.AliveCount(); n != members+1 {
+					t.Fatalf("%d members are alive, want %d", n, members+1)
+				}
+			}
+			best = min(best, time.Since(began))
+		}
+		return best
+	}
+	if few, many := measure(10), measure(1000); many > 10*few+10*time.Millisecond {
+		t.Errorf("%d calls take %s with 10 members and %s with 1,000, want about the same", calls, few, many)
+	}
+}
