Log the limits of requests that targets state

A target in need states in its answers how many requests a second it takes from all hosts together (LIMIT). Nothing in the logs shows it, so hosts that don't know of it can't be told from hosts that keep to it each by itself. Nothing else follows from it yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/retry"
 	"sassafrasplank.example/sassafrasplank/internal/rollout"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
+	"sassafrasplank.example/sassafrasplank/internal/targetlimit"
 )
 
 // LedgerWriter records finished requests.
@@ -74,6 +75,7 @@
 	roles     cacheRoles
 	// leaving contains the latest targets that said in an answer that they are leaving.
 	leaving []leavingTarget
+	limits  targetlimit.Limits
 	// bytesPerToken is the size of a cached token on the engines, and fetchRate
 	// the bandwidth of their links in bytes per second.
 	bytesPerToken, fetchRate float64
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -6,6 +6,7 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/targetlimit"
 )
 
 // maxQuietFor limits how long one answer of a target keeps this host from calling it.
@@ -25,11 +26,14 @@
 }
 
 // applyNotice stops placing requests on a target that is leaving or wants no calls for
-// some time.
+// some time, and records its limit of requests.
 func (g *Gateway) applyNotice(t fleet.Target, n Notice) {
 	if n.Leaving {
 		g.targetLeaving(t.ID, t.Started, "answer")
 	}
+	if n.Limited {
+		g.addLimit(targetlimit.Statement{Target: t.ID, Started: t.Started, Limited: true, PerSecond: n.Limit, At: g.Clock.Now()}, "answer")
+	}
 	if n.QuietFor <= 0 {
 		return
 	}
@@ -42,6 +46,19 @@
 		Msg("targets: target wants no calls from this host for some time")
 }
 
+// addLimit records what a target has stated about its limit of requests, in an answer to
+// this host or to a peer.
+func (g *Gateway) addLimit(s targetlimit.Statement, source string) {
+	g.mu.Lock()
+	changed := g.limits.Add(s)
+	g.mu.Unlock()
+	if !changed {
+		return
+	}
+	g.Log.Info().Str("part", "targets").Str("target", s.Target).Int64("started", s.Started).Bool("limited", s.Limited).
+		Float64("perSecond", s.PerSecond).Str("source", source).Msg("targets: limit of requests changed")
+}
+
 // targetLeaving records that a target is leaving, according to one of its answers or to
 // a peer that received one.
 func (g *Gateway) targetLeaving(id string, started int64, source string) {
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -45,6 +45,10 @@
 	// QuietFor is how long the target wants no further calls from this host, 0 if it
 	// does not say.
 	QuietFor time.Duration
+	// Limited reports that the target limits the requests of all hosts together to Limit
+	// per second.
+	Limited bool
+	Limit   float64
 }
 
 // Reply is the answer to a Call. It must be closed.
