Keep calls to a target within the limit that it states

Callers saw: nothing by themselves. Cause: no code read the limit. The calls for cache events, about one a second from each of nine hosts to each engine, exceeded it by themselves: the report counts 39 calls where hosts placed 21 requests. Class: a target's own word that reaches one host and binds all of them, and a limit for requests that other calls to the same target count towards. Ruled out: retries (none of the 42 requests in the two windows was one), and hosts that each keep to the limit (nothing changes in the placements after it is stated). Why this works: hosts tell each other what targets state; the latest statement of the running process counts, and the first answer to a request without a limit ends it. Each host computes its part from the number of live hosts and its rank among them for this target, so no host asks another before a request. With many hosts few use the target, as each may save up one call. Any attempt (first, retry, resumed stream) takes from that part when it is placed; a target without a call left is passed over, and if all are, the request is refused at once with the time that is left. Targets with a limit aren't polled for cache events. Orders and states of the rollout count, but don't wait. On `serve`, targets speak a protocol of our own that states no limits.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -165,6 +165,9 @@
 	maxReportLoads    = 24
 )
 
+// MergeLimits does nothing: targets of this path state no limits.
+func (d *Dispatcher) MergeLimits([]peer.TargetLimit) {}
+
 // MergeLeaving applies the leaving targets reported by a peer.
 func (d *Dispatcher) MergeLeaving(leaving []peer.LeavingTarget) {
 	now := d.Clock.Now()
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -154,7 +154,7 @@
 	h.gateway.Init()
 	h.buildGroup(incarnation)
 	h.leader = &rollout.Leader{
-		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Targets: h.Orders, Clock: h.Clock, Steady: h.Steady, Log: h.Log, Requested: h.requested,
+		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Targets: h.gateway.Counted(h.Orders), Clock: h.Clock, Steady: h.Steady, Log: h.Log, Requested: h.requested,
 		Plan: rollout.Plan{
 			SwapShare: cfg.Rollout.SwapShare, ConcurrentLoads: cfg.Rollout.ConcurrentLoads, Drain: cfg.Rollout.Drain.Duration, TimeLimit: cfg.Rollout.TimeLimit.Duration,
 			SettleDelay: cfg.Rollout.SettleDelay.Duration, KeepRuns: cfg.Rollout.KeepRuns, RepeatAfter: cfg.Rollout.RepeatAfter.Duration,
@@ -184,7 +184,7 @@
 	}
 	h.group.Init()
 	h.ledgerWriter.Mirror, h.ledgerWriter.HostCount = h.group, h.group.HostCount
-	h.gateway.HostCount = h.group.HostCount
+	h.gateway.HostCount, h.gateway.HostRank = h.group.HostCount, h.group.HostRank
 	h.gateway.CacheRelay, h.group.Caches = h.group, h.gateway
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -151,6 +151,7 @@
 		g.planTransfers(w, at)
 	}
 	at.ticket = g.placer.Start(now, req, &at.decision)
+	g.takeCall(now, t.ID)
 	return at, noChoice{}
 }
 
@@ -158,6 +159,7 @@
 // the attempt may name no target. It returns nil if no loaded weights may be used. The lock
 // must be held.
 func (g *Gateway) chooseTarget(now time.Time, req *placement.Request, w *work.Work) *attempt {
+	g.paceAll(now)
 	if w.Model == "" {
 		return g.tryVersion(now, req, w, plainVersion, 0)
 	}
@@ -172,7 +174,7 @@
 	case placement.ReasonNoLongSlot:
 		return "no target has a free slot for a long answer"
 	case placement.ReasonQuiet:
-		return "every usable target asked this host to send nothing for some time"
+		return "every usable target takes no further requests of this host for some time"
 	default:
 		return "no target is listed, ready and usable"
 	}
--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -157,8 +157,8 @@
 		if !ok {
 			return
 		}
-		if quiet := g.quietFor(id); quiet > 0 {
-			_ = clock.Sleep(ctx, g.Clock, quiet) // The loop checks ctx.
+		if closed := g.closedToPolls(id); closed > 0 {
+			_ = clock.Sleep(ctx, g.Clock, closed) // The loop checks ctx.
 			continue
 		}
 		wait, pause := g.pollTiming(g.pollLimit(t.Service))
@@ -176,10 +176,14 @@
 	}
 }
 
-// quietFor returns how long a target still wants no calls from this host.
-func (g *Gateway) quietFor(id string) time.Duration {
+// closedToPolls returns how long a target isn't polled at least, 0 if it may be polled now. It
+// isn't if it wants no calls from this host, or if it limits calls: requests need those more.
+func (g *Gateway) closedToPolls(id string) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.limits.Limited(id) {
+		return pollRetryPause
+	}
 	return g.placer.QuietUntil(id).Sub(g.Clock.Now())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// HostCount returns the number of live entry hosts. If it is nil, few hosts are
 	// assumed.
 	HostCount func() int
+	// HostRank returns the number of other live entry hosts with a higher rendezvous hash for
+	// a name. If it is nil, this host is the first one.
+	HostRank func(name string) int
 	// CacheRelay may be nil. This host then polls all engines and stores.
 	CacheRelay CacheRelay
 	Log        *log.Logger
@@ -75,7 +78,8 @@
 	roles     cacheRoles
 	// leaving contains the latest targets that said in an answer that they are leaving.
 	leaving []leavingTarget
-	limits  targetlimit.Limits
+	// limits are the limits of calls that targets have stated.
+	limits targetlimit.Limits
 	// bytesPerToken is the size of a cached token on the engines, and fetchRate
 	// the bandwidth of their links in bytes per second.
 	bytesPerToken, fetchRate float64
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -46,17 +46,16 @@
 		Msg("targets: target wants no calls from this host for some time")
 }
 
-// addLimit records what a target has stated about its limit of requests, in an answer to
-// this host or to a peer.
-func (g *Gateway) addLimit(s targetlimit.Statement, source string) {
+// applyReply applies the notice of an answer to a request. An answer without a limit says
+// that the target has none any more.
+func (g *Gateway) applyReply(t fleet.Target, n Notice) {
+	g.applyNotice(t, n)
 	g.mu.Lock()
-	changed := g.limits.Add(s)
+	lifted := !n.Limited && g.limits.Limited(t.ID)
 	g.mu.Unlock()
-	if !changed {
-		return
+	if lifted {
+		g.addLimit(targetlimit.Statement{Target: t.ID, Started: t.Started, At: g.Clock.Now()}, "answer")
 	}
-	g.Log.Info().Str("part", "targets").Str("target", s.Target).Int64("started", s.Started).Bool("limited", s.Limited).
-		Float64("perSecond", s.PerSecond).Str("source", source).Msg("targets: limit of requests changed")
 }
 
 // targetLeaving records that a target is leaving, according to one of its answers or to
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -60,6 +60,7 @@
 	report := peer.Report{RequestsInFlight: g.Active(), Loads: g.placer.Loads(now, maxReportLoads)}
 	report.Suspects = g.suspects.Report(now, maxReportSuspects)
 	report.Leaving = g.reportLeaving(now)
+	report.Limits = g.reportLimits(now)
 	return report
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -168,7 +168,7 @@
 		return r.recordEnd(ctx, at, err)
 	}
 	defer reply.Close()
-	r.g.applyNotice(at.target, reply.Notice())
+	r.g.applyReply(at.target, reply.Notice())
 	head := reply.Head()
 	if r.work.Route.Kind == Stream && head.Status == http.StatusOK {
 		return r.recordEnd(ctx, at, r.relayStream(at, reply, wd))
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -65,6 +65,7 @@
 		specs = append(specs, g.engineSpec(t, cfg.Services[t.Service].Engine))
 	}
 	g.placer.SetEngines(now, specs)
+	g.retainLimits(targets)
 	for _, t := range targets {
 		versions := []string{plainVersion}
 		for model, version := range t.Versions {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -92,10 +92,20 @@
 	self         Member
 	entries      map[string]*entry
 	partnerQueue []string
-	// otherAlive is the number of other live members. It is only valid if counted is set,
-	// which each change of an entry clears.
+	// otherAlive is the number of other live members. It is only valid if counted is set.
 	otherAlive int
 	counted    bool
+	// ranks contains results of Rank.
+	ranks map[string]int
+}
+
+// maxRanks limits the results of Rank that are kept.
+const maxRanks = 4096
+
+// changed forgets what depends on the entries.
+func (t *Table) changed() {
+	t.counted = false
+	clear(t.ranks)
 }
 
 // NewTable returns a table that contains only the host itself.
@@ -132,14 +142,14 @@
 func (t *Table) merge(now time.Time, update Member) {
 	known := t.entries[update.Name]
 	if known == nil {
-		t.counted = false
+		t.changed()
 		t.entries[update.Name] = &entry{member: update, changedAt: now}
 		return
 	}
 	if !update.newerThan(&known.member) {
 		return
 	}
-	t.counted = false
+	t.changed()
 	known.member = update
 	known.changedAt = now
 	known.sends = 0
@@ -157,7 +167,7 @@
 	if known == nil || known.member.Status != Alive {
 		return
 	}
-	t.counted = false
+	t.changed()
 	known.member.Status = Suspect
 	known.changedAt = now
 	known.sends = 0
@@ -355,8 +365,12 @@
 
 // Rank returns the number of other alive members that have a higher rendezvous hash for a
 // name than the host itself. Members that are known only from the list of hosts, with
-// incarnation 0, don't count. Hosts with different views may disagree.
+// incarnation 0, don't count. Hosts with different views may disagree. A further call for a
+// name between two changes of the table costs the same at any number of members.
 func (t *Table) Rank(name string) int {
+	if rank, known := t.ranks[name]; known {
+		return rank
+	}
 	own := ownerHash(t.self.Name, name)
 	rank := 0
 	for _, e := range t.entries {
@@ -364,6 +378,10 @@
 			rank++
 		}
 	}
+	if t.ranks == nil || len(t.ranks) >= maxRanks {
+		t.ranks = map[string]int{}
+	}
+	t.ranks[name] = rank
 	return rank
 }
 
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -55,6 +55,8 @@
 	MergeSuspects(suspects []retry.Suspect)
 	// MergeLeaving applies the leaving targets that a peer reported.
 	MergeLeaving(leaving []LeavingTarget)
+	// MergeLimits applies the limits of targets that a peer reported.
+	MergeLimits(limits []TargetLimit)
 }
 
 // PoolDecider admits and places requests of other hosts as the owner of a pool.
@@ -355,6 +357,7 @@
 	}
 	g.Local.MergeSuspects(decoded.Suspects)
 	g.Local.MergeLeaving(decoded.Leaving)
+	g.Local.MergeLimits(decoded.Limits)
 	return nil
 }
 
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -26,6 +27,7 @@
 	maxCrashes   = 64 // of one suspect
 	maxUpdates   = 256
 	maxLeaving   = 256
+	maxLimits    = 256
 	// unknownContact is the value of ContactAgeMillis while no contact is known.
 	unknownContact = -1
 )
@@ -49,6 +51,20 @@
 	Tables   []TableVersion
 	// Leaving are targets whose answers say that they are leaving.
 	Leaving []LeavingTarget
+	Limits  []TargetLimit
+}
+
+// TargetLimit is what a process of a target has stated about its limit of calls.
+type TargetLimit struct {
+	Target string
+	// Started is the start time of the process in Unix milliseconds, 0 if unknown.
+	Started int64
+	// Limited reports whether there is a limit. PerSecond is the number of calls per second
+	// from all hosts together.
+	Limited   bool
+	PerSecond float64
+	// Age is the time since the target stated it.
+	Age time.Duration
 }
 
 // LeavingTarget is a process of a target that is leaving. Started is its start time in
@@ -91,6 +107,11 @@
 	for _, t := range r.Leaving {
 		encoded.Leaving = append(encoded.Leaving, &wire.LeavingTarget{Target: t.Target, Started: t.Started})
 	}
+	for _, l := range r.Limits {
+		encoded.Limits = append(encoded.Limits, &wire.TargetLimit{
+			Target: l.Target, Started: l.Started, Limited: l.Limited, PerSecond: l.PerSecond, AgeMillis: l.Age.Milliseconds(),
+		})
+	}
 	return encoded
 }
 
@@ -99,8 +120,8 @@
 	if w == nil {
 		return Report{}, errors.New("peer report: missing from the message")
 	}
-	if len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects || len(w.Tables) > maxTables || len(w.Leaving) > maxLeaving {
-		return Report{}, errors.New("peer report: more demands, loads, suspects, tables or leaving targets than allowed")
+	if len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects || len(w.Tables) > maxTables || len(w.Leaving) > maxLeaving || len(w.Limits) > maxLimits {
+		return Report{}, errors.New("peer report: more demands, loads, suspects, tables, leaving targets or limits than allowed")
 	}
 	if w.Revision < 0 || w.HighestRevision < w.Revision || w.RequestsInFlight < 0 {
 		return Report{}, fmt.Errorf("peer report: a revision or the number of requests in flight is out of range: revision %d, highest revision %d", w.Revision, w.HighestRevision)
@@ -126,7 +147,19 @@
 	if len(loads) > 0 {
 		r.Loads = loads
 	}
-	return r, errors.Join(r.decodeDemands(w.Demands), err, r.decodeSuspects(w.Suspects))
+	return r, errors.Join(r.decodeDemands(w.Demands), err, r.decodeSuspects(w.Suspects), r.decodeLimits(w.Limits))
+}
+
+func (r *Report) decodeLimits(limits []*wire.TargetLimit) error {
+	for _, l := range limits {
+		if len(l.Target) > maxNameBytes || !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) || l.AgeMillis < 0 { // This also excludes NaN.
+			return fmt.Errorf("peer report: limit of target %.40q is out of range or the name is too long", l.Target)
+		}
+		r.Limits = append(r.Limits, TargetLimit{
+			Target: l.Target, Started: l.Started, Limited: l.Limited, PerSecond: l.PerSecond, Age: time.Duration(l.AgeMillis) * time.Millisecond,
+		})
+	}
+	return nil
 }
 
 func (r *Report) decodeDemands(demands []*wire.AccountDemand) error {
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -34,6 +34,7 @@
 func (e *environment) Hosts(context.Context) ([]platform.Host, error) { return e.hosts, nil }
 func (e *environment) MergeSuspects([]retry.Suspect)                  {}
 func (e *environment) MergeLeaving([]LeavingTarget)                   {}
+func (e *environment) MergeLimits([]TargetLimit)                      {}
 func (e *environment) TargetLeaving(string)                           {}
 func (e *environment) ObserveFor(*wire.ObserveRequest)                {}
 func (e *environment) Current() *record.Set                           { return record.NewSet() }
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -34,6 +34,14 @@
 	return g.members.AliveCount()
 }
 
+// HostRank returns the number of other live entry hosts that have a higher rendezvous hash for
+// a name than this one.
+func (g *Group) HostRank(name string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Rank(name)
+}
+
 // States returns the state of all entry hosts known to this host.
 func (g *Group) States() []HostState {
 	own := g.ownReport()
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -67,8 +67,9 @@
 	unreachable bool
 	avoidUntil  time.Time
 	drainUntil  time.Time
-	// quietUntil is until when the engine wants no requests of this host.
-	quietUntil time.Time
+	// quietUntil is until when the engine wants no requests of this host, and pacedUntil when
+	// its limit of requests allows the next one of this host.
+	quietUntil, pacedUntil time.Time
 	// failureShare is the share of recent requests that failed, as of
 	// failureShareAt.
 	failureShare   float64
@@ -114,6 +115,14 @@
 	return &engine{number: number, spec: spec, firstSeen: now, requestTime: defaultRequestTime}
 }
 
+// closedUntil returns until when the engine takes no request of this host.
+func (e *engine) closedUntil() time.Time {
+	if e.pacedUntil.After(e.quietUntil) {
+		return e.pacedUntil
+	}
+	return e.quietUntil
+}
+
 // load returns the number of requests at the engine, including those that are
 // known only from its reports.
 func (e *engine) load() int {
@@ -143,7 +152,7 @@
 		e.incarnation = report.Incarnation
 		e.leaving = false
 		e.leavingAt = time.Time{}
-		e.quietUntil = time.Time{}
+		e.quietUntil, e.pacedUntil = time.Time{}, time.Time{}
 	}
 	e.versions = report.Versions
 	// A delayed report must not revoke a newer MarkLeaving.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -76,8 +76,8 @@
 		if !b.eligible(now, e, req) {
 			continue
 		}
-		if now.Before(e.quietUntil) {
-			d.recordQuiet(e.quietUntil)
+		if until := e.closedUntil(); now.Before(until) {
+			d.recordQuiet(until)
 			continue
 		}
 		pool.expectPeers(now, e)
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -245,6 +245,14 @@
 	}
 }
 
+// Pace excludes a target from new requests until the given time, when its limit allows the
+// next one of this host. A later call replaces the time.
+func (b *Placer) Pace(target string, until time.Time) {
+	if e := b.find(target); e != nil {
+		e.pacedUntil = until
+	}
+}
+
 // QuietUntil returns until when Quiet excludes a target, or the zero time.
 func (b *Placer) QuietUntil(target string) time.Time {
 	if e := b.find(target); e != nil {
