Sort a copy of the owners in a test

The test sorted the names that the table keeps, so the check of the rank after it compared with the sorted ones. With a copy it passes as well.

--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -223,8 +223,7 @@
 	table.Merge(now, []membership.Member{{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 1}})
 	check := func(what string, alive int, names ...string) {
 		t.Helper()
-		owners := table.Owners("x", 10)
-		slices.Sort(owners)
+		owners := slices.Sorted(slices.Values(table.Owners("x", 10)))
 		if diff := cmp.Diff(names, owners); diff != "" || table.AliveCount() != alive {
 			t.Errorf("%s: %d alive, want %d; owners (-want +got):\n%s", what, table.AliveCount(), alive, diff)
 		}
