Share the list of targets and collect garbage less often

Callers saw: too little served on 295 hosts (SHORT). Cause: each of several tasks copies and sorts all targets up to 20 times a second (7% in a profile of 45 hosts and 240 engines in one process), and garbage is collected as often as in a process whose memory is scarce (8%). Class: as before, work for all targets at a fixed rate. Why this works: the list is built once for each change, which its readers don't modify. A host uses some 50 of its 112 MB and more; the limit of its runtime stays, near which garbage is collected as often as necessary.

--- a/commands/route.go
+++ b/commands/route.go
@@ -30,6 +30,11 @@
 // bytes of sockets.
 const memoryLimitShare = 0.7
 
+// gcPercent is by how many percent the memory of the Go runtime may grow between two garbage
+// collections. Hosts use a small part of their memory, so fewer collections save processor
+// time; near the memory limit they run as often as necessary.
+const gcPercent = 200
+
 func newRoute() *cli.Command {
 	return &cli.Command{
 		Name:  "route",
@@ -44,6 +49,7 @@
 			}
 			if cfg.MemoryBytes > 0 {
 				debug.SetMemoryLimit(int64(float64(cfg.MemoryBytes) * memoryLimitShare))
+				debug.SetGCPercent(gcPercent)
 			}
 			stop, force, end := stopSignals(ctx)
 			defer end()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -65,6 +65,8 @@
 	changed     chan struct{}
 	// generation counts the changes.
 	generation uint64
+	// list contains the targets, sorted by id. It is nil if it has to be built.
+	list []Target
 }
 
 // NewView returns an empty view.
@@ -129,6 +131,7 @@
 	v.leaving[id] = started
 	t.Leaving = true
 	v.targets[id] = t
+	v.list = nil
 	v.notify()
 	return true
 }
@@ -154,6 +157,7 @@
 		v.leaving[t.ID] = t.Started
 	}
 	v.targets[t.ID] = t
+	v.list = nil
 	same := known && old.Service == t.Service && old.Address == t.Address && old.Leaving == t.Leaving &&
 		old.Started == t.Started && old.Slots == t.Slots && maps.Equal(old.Versions, t.Versions)
 	if !same {
@@ -181,6 +185,7 @@
 
 // forget deletes a target. The caller must hold v.mu.
 func (v *View) forget(id string) {
+	v.list = nil
 	delete(v.targets, id)
 	delete(v.leaving, id)
 }
@@ -229,13 +234,17 @@
 	return removed
 }
 
-// Targets returns all listed targets, sorted by id.
+// Targets returns all listed targets, sorted by id. Callers share the list and must not
+// change it.
 func (v *View) Targets() []Target {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	list := slices.Collect(maps.Values(v.targets))
-	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
-	return list
+	if v.list == nil {
+		v.list = make([]Target, 0, len(v.targets))
+		v.list = slices.AppendSeq(v.list, maps.Values(v.targets))
+		slices.SortFunc(v.list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return v.list
 }
 
 // Find returns the target with an id.
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -135,3 +135,36 @@
 		t.Error("the new process counts as leaving")
 	}
 }
+
+// The shared list of targets must follow each change.
+func TestListFollowsChanges(t *testing.T) {
+	v := fleet.NewView()
+	now := time.Now()
+	check := func(what string, want ...string) {
+		t.Helper()
+		var got []string
+		for _, target := range v.Targets() {
+			name := target.ID + "/" + target.FailureDomain
+			if target.Leaving {
+				name += "/leaving"
+			}
+			got = append(got, name)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%s: targets (-want +got):\n%s", what, diff)
+		}
+	}
+	check("empty")
+	v.Put(fleet.Target{ID: "b", FailureDomain: "north"})
+	check("added", "b/north")
+	v.Put(fleet.Target{ID: "a", FailureDomain: "north"})
+	check("added in front", "a/north", "b/north")
+	v.Put(fleet.Target{ID: "a", FailureDomain: "south"})
+	check("moved", "a/south", "b/north")
+	v.MarkLeaving("b", 0)
+	check("leaving", "a/south", "b/north/leaving")
+	v.Remove(now, "a")
+	check("removed", "b/north/leaving")
+	v.Replace(now, []fleet.Target{{ID: "c", FailureDomain: "north"}})
+	check("replaced", "c/north")
+}
