--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -43,8 +43,7 @@
 	return calls
 }
 
-// A limit must hold for hosts that hear of it from a peer, and end with the first answer
-// without it.
+// The limit also holds for a host that hears of it from a peer.
 func TestLimitOfTargetHoldsUntilItIsLifted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var on atomic.Bool
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -184,8 +184,7 @@
 	}
 }
 
-// Questions that hosts ask for each target or several times a second must not cost more with
-// more members.
+// Hosts ask these questions for each target or several times a second.
 func TestQuestionsCostTheSameWithManyMembers(t *testing.T) {
 	const calls = 20_000
 	for name, ask := range map[string]func(table *membership.Table){
--- a/internal/peer/tables_test.go
+++ b/internal/peer/tables_test.go
@@ -13,7 +13,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 )
 
-// Every row must reach a peer unchanged, and no row may be unreadable to one of an earlier build.
+// A peer of an earlier build must be able to read every row as well.
 func TestRowsWithoutJSONValueReachPeers(t *testing.T) {
 	for name, row := range map[string]platform.Row{
 		"JSON":    {Table: "servers", Key: "a", Version: 3, Era: 1, Value: json.RawMessage(`{"state":"ready"}`), WrittenAfterMillis: 7},
