Don't ask peers again for a removal that the copy includes

A host that starts later, and has read the table itself, gets no row for it from a peer and would ask again ten times a second until another row is written. Change: the answer of a peer without such a row also tells that the copy includes what peers reported, as far as that peer has it.

--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -169,13 +169,14 @@
 		return err
 	}
 	f.answered()
-	f.merge(page)
+	f.merge(page, Position{})
 	return nil
 }
 
-// merge applies the rows of a page that are newer than the known ones. A page of
-// another era than the copy is ignored: the table is then read again, or was.
-func (f *Follower) merge(page Page) {
+// merge applies the rows of a page that are newer than the known ones. newest is as for
+// applyAll. A page of another era than the copy is ignored: the table is then read again, or
+// was.
+func (f *Follower) merge(page Page, newest Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if page.Era != f.after.Era {
@@ -189,6 +190,7 @@
 			changed = append(changed, row)
 		}
 	}
+	f.raiseNewest(newest)
 	f.after.Version = max(f.after.Version, page.Version)
 	if !page.More {
 		f.completeMillis = max(f.completeMillis, page.ClockMillis)
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -560,3 +560,50 @@
 		}
 	})
 }
+
+// countedCopy counts the reads of rows from a peer.
+type countedCopy struct {
+	peerCopy
+
+	reads *atomic.Int64
+}
+
+func (c countedCopy) PeerRows(ctx context.Context, table string, after platform.Position) (platform.Page, error) {
+	c.reads.Add(1)
+	return c.peerCopy.PeerRows(ctx, table, after)
+}
+
+// A host that starts after a table was read again must not ask for what it knows again and again.
+func TestHostDoesNotAskForKnownRemovalAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, known, unused := &fakeFeed{rows: map[string]platform.Row{}}, &tableCopy{}, &tableCopy{}
+		feed.put("a", "1")
+		feed.put("b", "2")
+		quiet := &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+		reader := &platform.Follower{Client: feed, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: unused.apply, Log: quiet}
+		ctx, end := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = reader.Run(ctx) })
+		time.Sleep(time.Second)
+		feed.set(func() {
+			delete(feed.rows, "a")
+			feed.version += 10
+			feed.oldest = feed.version
+		})
+		time.Sleep(time.Second)
+		feed.set(func() { feed.version += 10 }) // Rows of other tables are written.
+		time.Sleep(time.Second)
+		var reads atomic.Int64
+		started := &platform.Follower{
+			Client: feed, Relay: countedCopy{peerCopy{reader}, &reads}, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply,
+			ReadsService: func() bool { return false }, Log: quiet,
+		}
+		running.Go(func() { _ = started.Run(ctx) })
+		time.Sleep(10 * time.Second)
+		if n := reads.Load(); n > 1 || known.text() != "b=2 " {
+			t.Errorf("%d reads of rows from a peer in 10 s, want at most one; copy %q, want \"b=2 \"", n, known.text())
+		}
+		end()
+		running.Wait()
+	})
+}
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -41,15 +41,17 @@
 	}
 	f.Log.Info().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("ahead", ahead.Version).
 		Int64("era", ahead.Era).Int("rows", len(page.Rows)).Bool("whole", page.Whole).Msg("follower: received rows from a peer")
+	// The copy then includes the changes that peers have reported, as far as this peer has them.
+	at := Position{Era: page.Era, Version: page.Version}
+	included := ahead
+	if included.After(at) {
+		included = at
+	}
 	if !loaded || page.Whole {
-		at := Position{Era: page.Era, Version: page.Version}
-		if ahead.After(at) {
-			ahead = at
-		}
-		f.applyAll(page.Rows, at, 0, ahead)
+		f.applyAll(page.Rows, at, 0, included)
 		return
 	}
-	f.merge(page)
+	f.merge(page, included)
 }
 
 // Newest returns the position of the newest known row, or the zero position before the
