Log the build of targets and what callers say of streams that they resume

The logs of ORDER show streams that are resumed within their answer, but not at which build, and can't tell a stream that a caller takes up at a host from an ordinary request (docs/incidents/joined-builds.md, hypotheses 1 and 2). 'targets: listed' and 'placement: chosen' now tell the build, the latter also the last event that the caller has and the request that brought the first one. Nothing is decided by these fields yet.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -318,7 +318,7 @@
 func (h *RoutedHost) logTarget(row platform.Row, state string, immediate bool) {
 	t, _ := h.fleet.Find(row.Key)
 	h.Log.Info().Str("part", "targets").Str("target", row.Key).Int64("rowVersion", row.Version).
-		Str("service", t.Service).Str("address", t.Address).Any("versions", t.Versions).Int64("started", t.Started).
+		Str("service", t.Service).Str("address", t.Address).Str("build", t.Build).Any("versions", t.Versions).Int64("started", t.Started).
 		Bool("atOnce", immediate).Msg("targets: " + state)
 }
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -33,6 +33,8 @@
 	FailureDomain string
 	Slots         int
 	Leaving       bool
+	// Build is the version of the software of the target, as opposed to its weights.
+	Build string
 	// Versions are the loaded weight versions, by model.
 	Versions map[string]int64
 	// Started is the start time of the process in Unix milliseconds, 0 if unknown.
@@ -159,7 +161,7 @@
 	v.targets[t.ID] = t
 	v.list = nil
 	same := known && old.Service == t.Service && old.Address == t.Address && old.Leaving == t.Leaving &&
-		old.Started == t.Started && old.Slots == t.Slots && maps.Equal(old.Versions, t.Versions)
+		old.Started == t.Started && old.Slots == t.Slots && old.Build == t.Build && maps.Equal(old.Versions, t.Versions)
 	if !same {
 		v.notify()
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -21,6 +21,9 @@
 		Dur("outdatedFor", at.outdatedFor).
 		Str("target", at.target.ID).
 		Str("address", at.target.Address).
+		Str("build", at.target.Build).
+		Int64("lastEvent", r.lastID).
+		Str("origin", r.work.Origin).
 		Str("reason", string(at.decision.Reason)).
 		Str("source", string(chosen.Source)).
 		Strs("fetch", at.fetch).
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -45,6 +45,9 @@
 	// LastEventID is the ID of the last event that the caller has received,
 	// eventstream.NoID for none.
 	LastEventID int64
+	// Origin is the ID of the request by which the caller received the first event of the
+	// stream that it resumes, empty if it doesn't say.
+	Origin string
 	// Payload is data that the ingress passes to the target client. The gateway does
 	// not read it.
 	Payload any
