Resume a stream within its answer only at the build that began it

Cause: placement knew the weights that a target has loaded, but not its software. A stream that broke off or fell silent went on at whichever target was expected to be fastest.

Change: a target's build is part of what placement knows. From its first event on, a stream only goes on at targets of the build that began it; if there is none, the answer is broken off. A silent target is no longer given up for one of another build.

The test first expected that a broken stream isn't resumed at the only target of its build; that target may go on with it, so the target now leaves when the stream breaks. Without the change to relay.go both tests fail, with it they pass.

--- a/internal/gateway/alternative.go
+++ b/internal/gateway/alternative.go
@@ -24,6 +24,13 @@
 	return a
 }
 
+// requireBuild restricts the targets that can be used to those of a build.
+func (a *alternative) requireBuild(build string) {
+	a.g.mu.Lock()
+	defer a.g.mu.Unlock()
+	a.request.Build = &build
+}
+
 // take takes a retry from the budget if another target can be used, and reports whether it
 // did.
 func (a *alternative) take() bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -144,6 +144,9 @@
 	if !ok {
 		return nil, noChoice{why: "the chosen target has just been removed from the list of targets"}
 	}
+	if req.Build != nil && t.Build != *req.Build {
+		return nil, noChoice{why: "the chosen target has just been replaced by one of another build"}
+	}
 	at.target = t
 	req.Version = at.version
 	req.Chain = at.chain
@@ -176,6 +179,9 @@
 	case placement.ReasonQuiet:
 		return "every usable target takes no further requests of this host for some time"
 	default:
+		if req.Build != nil {
+			return fmt.Sprintf("no target of build %q, which began the stream, is listed, ready and usable", *req.Build)
+		}
 		return "no target is listed, ready and usable"
 	}
 }
--- a/internal/gateway/builds_test.go
+++ b/internal/gateway/builds_test.go
@@ -1,8 +1,8 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
+	"sassafrasplank.example/sassafrasplank/internal/gateway"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
 )
 
@@ -21,7 +22,6 @@
 
 // A stream that breaks off must go on at the build that began it or not at all.
 func TestBrokenStreamIsNotResumedAtOtherBuild(t *testing.T) {
-	skipKnownRed(t)
 	for name, test := range map[string]struct {
 		builds map[string]string
 		body   string
@@ -32,7 +32,13 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFixture(t, stream(1, 3, broken), stream(4, 6, io.EOF))
+			var f *fixture
+			crash := func(ctx context.Context, call *gateway.Call) (gateway.Reply, error) {
+				f.Fleet.Remove(time.Now(), call.Target.ID)
+				f.TargetsChanged()
+				return stream(1, 3, broken)(ctx, call)
+			}
+			f = newFixture(t, crash, stream(4, 6, io.EOF))
 			for id, build := range test.builds {
 				f.setBuild(id, build)
 			}
@@ -52,7 +58,6 @@
 
 // A silent stream must not be given up for a target of another build.
 func TestSilentStreamIsKeptWithoutTargetOfItsBuild(t *testing.T) {
-	skipKnownRed(t)
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, pausing(1, 3, 2*time.Second, 6), stream(4, 6, io.EOF))
 		f.setBuild("e1", "v1")
@@ -64,11 +69,3 @@
 		}
 	})
 }
-
-// skipKnownRed skips a test that is listed in KNOWN-RED.txt.
-func skipKnownRed(t *testing.T) {
-	t.Helper()
-	if os.Getenv("SASSAFRASPLANK_KNOWN_RED") == "" {
-		t.Skip("listed in KNOWN-RED.txt")
-	}
-}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -36,7 +36,7 @@
 	for {
 		event, err := reply.Next()
 		if errors.Is(err, io.EOF) {
-			if r.begun || r.beginStream(reply) {
+			if r.begun || r.beginStream(at, reply) {
 				r.recordDone(at, http.StatusOK)
 				at.answered = at.events >= answeringEvents || reply.Framed()
 			}
@@ -51,7 +51,7 @@
 		wd.reset()
 		if !r.begun {
 			r.g.recordFirstToken(at)
-			if !r.beginStream(reply) {
+			if !r.beginStream(at, reply) {
 				return nil
 			}
 		}
@@ -80,9 +80,11 @@
 }
 
 // beginStream sends the beginning of a stream, and returns false if the caller
-// has disconnected.
-func (r *run) beginStream(reply Reply) bool {
+// has disconnected. From then on, only targets of the same build can go on with it.
+func (r *run) beginStream(at *attempt, reply Reply) bool {
 	r.begun = true
+	r.request.Build = &at.target.Build
+	r.alternative.requireBuild(at.target.Build)
 	return !r.callerGone(r.sink.Begin(reply.Head()))
 }
 
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -87,6 +87,7 @@
 		Name:          t.ID,
 		FailureDomain: t.FailureDomain,
 		Models:        []string{t.Service},
+		Build:         t.Build,
 		Slots:         max(1, t.Slots),
 		PrefillRate:   g.Config.PlainSlotRate,
 	}
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -43,6 +43,8 @@
 	MaxMemoryShare float64
 	// Exclude lists the targets that were already tried.
 	Exclude []string
+	// Build is the build of targets that the request needs, nil for any.
+	Build *string
 }
 
 // Source is the origin of the cached part of a prompt.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -32,6 +32,8 @@
 	Name          string
 	FailureDomain string
 	Models        []string
+	// Build is the version of the software of the engine.
+	Build string
 	// Slots is the number of requests that the engine runs concurrently.
 	Slots int
 	// PrefillRate is the speed of an idle engine in prompt tokens per second.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -185,6 +185,9 @@
 	if slices.Contains(req.Exclude, e.spec.Name) {
 		return false
 	}
+	if req.Build != nil && e.spec.Build != *req.Build {
+		return false
+	}
 	if !slices.Contains(e.spec.Models, req.Model) {
 		return false
 	}
