Resume streams at other hosts only at the build that began them

Cause: a host that gets the rest of a stream doesn't know where it began, and started it anywhere. Only the host that began it knew, and forgot it. Class: a promise that spans several requests rested on what one process remembers.

Change: package streambuild. Before streams begin at a build, it is announced in a row of the shared table. While the row of a service holds one build, that build began every stream. While it holds several, hosts record the build of each stream in a table of its own, in batches each 200 ms. A host that gets the rest of a stream looks its build up by the request that began it and sends it to targets of that build only; what can't be known is refused with 503. A host doesn't rely on its copy of the row, which may lack a build that another host has announced. After a restore of the table service from an older copy, the only build in a row proves nothing until streams from before can't be resumed any more. The table client knows partitions; the limits of calls a host are doubled (40 reads, 20 writes a second) for the moments after all hosts were killed.

Ruled out: gossip between hosts (lost when all are killed), a record before the first event of each stream (a write in the way of every stream).

--- a/internal/config/routed.go
+++ b/internal/config/routed.go
@@ -212,8 +212,8 @@
 		},
 		Table: Table{
 			CallTimeout:     DurationOf(time.Second),
-			ReadsPerSecond:  20,
-			WritesPerSecond: 10,
+			ReadsPerSecond:  40,
+			WritesPerSecond: 20,
 			BreakerFailures: 8,
 			BreakerPause:    DurationOf(300 * time.Millisecond),
 			ChangeWait:      DurationOf(1500 * time.Millisecond),
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -30,6 +30,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/rollout"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
+	"sassafrasplank.example/sassafrasplank/internal/streambuild"
 )
 
 // Translator decodes table rows that the platform and its operators write.
@@ -86,6 +87,7 @@
 	requested    *rollout.RequestedVersions
 	leader       *rollout.Leader
 	recorder     *rollout.Recorder
+	builds       *streambuild.Registry
 	group        *peer.Group
 	hosts        *hostRows
 	copies       tableCopies
@@ -153,6 +155,12 @@
 	}
 	h.gateway.Init()
 	h.buildGroup(incarnation)
+	h.builds = &streambuild.Registry{
+		Table: h.table, Fleet: h.fleet, Clock: h.Clock, Steady: h.Steady, Log: h.Log, Rank: rank(cfg.Host),
+		HostCount: h.group.HostCount, HostRank: h.group.HostRank, OnChange: h.gateway.TargetsChanged,
+	}
+	h.builds.Init()
+	h.gateway.Builds = h.builds
 	h.leader = &rollout.Leader{
 		Host: cfg.Host, Table: h.table, Fleet: h.fleet, Targets: h.gateway.Counted(h.Orders), Clock: h.Clock, Steady: h.Steady, Log: h.Log, Requested: h.requested,
 		Plan: rollout.Plan{
@@ -208,6 +216,7 @@
 			h.leader.ApplyRows(rows, full)
 			h.recorder.ApplyRows(rows, full)
 			h.hosts.ApplyRows(rows, full)
+			h.builds.ApplyRows(rows, full)
 		},
 	}
 	// A host that reads the configuration from the service also reads the other tables.
@@ -224,7 +233,7 @@
 
 func (h *RoutedHost) tasks() []func(context.Context) error {
 	tasks := []func(context.Context) error{
-		h.ledgerWriter.Run, h.leader.Run, h.recorder.Run, h.hosts.Run, h.group.Run, h.expire, h.notifyReady,
+		h.ledgerWriter.Run, h.leader.Run, h.recorder.Run, h.builds.Run, h.hosts.Run, h.group.Run, h.expire, h.notifyReady,
 		func(ctx context.Context) error { h.gateway.FollowPeers(ctx, h.group); return nil },
 		func(ctx context.Context) error { h.gateway.WatchCaches(ctx, h.CacheEvents); return nil },
 		func(ctx context.Context) error { h.gateway.WatchStores(ctx, h.CacheEvents); return nil },
@@ -244,6 +253,7 @@
 			h.Log.Error().Str("part", "config").Int64("rowVersion", row.Version).Err(err).Msg("config: row rejected, the previous configuration stays in force")
 		}
 		if c != nil && h.gateway.SetRoutes(c) {
+			h.builds.SetLongestTimeout(c.LongestResumableTimeout())
 			h.Log.Info().Str("part", "config").Int64("version", c.Version).Int64("rowVersion", row.Version).
 				Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("config: in force")
 		}
@@ -303,6 +313,7 @@
 		}
 		h.Log.Info().Str("part", "targets").Int("targets", len(listed)).Msg("targets: list read")
 	}
+	h.builds.TargetsChanged()
 	h.gateway.TargetsChanged()
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,6 +60,7 @@
 		PromptTokens:  max(1, w.PromptTokens),
 		MayProbe:      w.Route.Repeatable(),
 		FailureDomain: g.FailureDomain,
+		Resumable:     w.Route.Kind == Stream && w.Route.Resumable,
 	}
 	if len(w.Parts) > 0 {
 		req.FailureDomain = ""
@@ -144,7 +145,7 @@
 	if !ok {
 		return nil, noChoice{why: "the chosen target has just been removed from the list of targets"}
 	}
-	if req.Build != nil && t.Build != *req.Build {
+	if (req.Build != nil && t.Build != *req.Build) || (req.Resumable && g.Builds != nil && !g.Builds.Usable(t.Service, t.Build)) {
 		return nil, noChoice{why: "the chosen target has just been replaced by one of another build"}
 	}
 	at.target = t
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// HostRank returns the number of other live entry hosts with a higher rendezvous hash for
 	// a name. If it is nil, this host is the first one.
 	HostRank func(name string) int
+	// Builds may be nil. Streams then begin at any build, and those that callers resume go on
+	// at any.
+	Builds StreamBuilds
 	// CacheRelay may be nil. This host then polls all engines and stores.
 	CacheRelay CacheRelay
 	Log        *log.Logger
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -83,6 +83,9 @@
 // has disconnected. From then on, only targets of the same build can go on with it.
 func (r *run) beginStream(at *attempt, reply Reply) bool {
 	r.begun = true
+	if r.g.Builds != nil && r.request.Resumable && r.work.LastEventID == eventstream.NoID {
+		r.g.Builds.Begin(at.target.Service, at.target.Build, r.work.ID)
+	}
 	r.request.Build = &at.target.Build
 	r.alternative.requireBuild(at.target.Build)
 	return !r.callerGone(r.sink.Begin(reply.Head()))
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -59,6 +59,10 @@
 		r.refuse(failure.Busy(failure.LedgerFull, r.retryAfter(), "this host can't record further placements in the ledger now"))
 		return
 	}
+	if refusal := r.findBuild(ctx); refusal != nil {
+		r.finish(refusal)
+		return
+	}
 	r.runAttempts(ctx)
 }
 
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -88,6 +88,7 @@
 		FailureDomain: t.FailureDomain,
 		Models:        []string{t.Service},
 		Build:         t.Build,
+		Unannounced:   g.Builds != nil && !g.Builds.Usable(t.Service, t.Build),
 		Slots:         max(1, t.Slots),
 		PrefillRate:   g.Config.PlainSlotRate,
 	}
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -45,6 +45,8 @@
 	Exclude []string
 	// Build is the build of targets that the request needs, nil for any.
 	Build *string
+	// Resumable is set for a stream that can be resumed.
+	Resumable bool
 }
 
 // Source is the origin of the cached part of a prompt.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -34,6 +34,8 @@
 	Models        []string
 	// Build is the version of the software of the engine.
 	Build string
+	// Unannounced is set while no stream that can be resumed may begin on the engine.
+	Unannounced bool
 	// Slots is the number of requests that the engine runs concurrently.
 	Slots int
 	// PrefillRate is the speed of an idle engine in prompt tokens per second.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -185,7 +185,7 @@
 	if slices.Contains(req.Exclude, e.spec.Name) {
 		return false
 	}
-	if req.Build != nil && e.spec.Build != *req.Build {
+	if (req.Build != nil && e.spec.Build != *req.Build) || (req.Resumable && e.spec.Unannounced) {
 		return false
 	}
 	if !slices.Contains(e.spec.Models, req.Model) {
--- a/internal/platform/row.go
+++ b/internal/platform/row.go
@@ -12,10 +12,12 @@
 // row; an absent row has version zero. In a service with feeds, versions also increase
 // from row to row: of two rows, the one written later has the higher version.
 type Row struct {
-	Table   string          `json:"table"`
-	Key     string          `json:"key"`
-	Version int64           `json:"version"`
-	Value   json.RawMessage `json:"value"`
+	Table string `json:"table"`
+	// Partition is empty for most tables.
+	Partition string          `json:"partition,omitempty"`
+	Key       string          `json:"key"`
+	Version   int64           `json:"version"`
+	Value     json.RawMessage `json:"value"`
 	// Era is the era of the service in which the row was read, see Position.
 	Era int64 `json:"era,omitempty"`
 	// Removed is set in a feed for a row that no longer exists.
@@ -72,10 +74,12 @@
 
 // Write replaces the value of a row, or removes the row when Delete is set.
 type Write struct {
-	Table  string          `json:"table"`
-	Key    string          `json:"key"`
-	Value  json.RawMessage `json:"value,omitempty"`
-	Delete bool            `json:"delete,omitempty"`
+	Table string `json:"table"`
+	// Partition must be the same in all writes of a transaction, and empty if it has conditions.
+	Partition string          `json:"partition,omitempty"`
+	Key       string          `json:"key"`
+	Value     json.RawMessage `json:"value,omitempty"`
+	Delete    bool            `json:"delete,omitempty"`
 }
 
 // Transaction applies all writes if all conditions are met, otherwise none.
@@ -84,13 +88,14 @@
 	Writes     []Write     `json:"writes"`
 }
 
-// Scan selects at most Limit rows of a table, in key order, whose keys start with
+// Scan selects at most Limit rows of a partition of a table, in key order, whose keys start with
 // Prefix and sort after After.
 type Scan struct {
-	Table  string `json:"table"`
-	Prefix string `json:"prefix"`
-	After  string `json:"after"`
-	Limit  int    `json:"limit"`
+	Table     string `json:"table"`
+	Partition string `json:"partition,omitempty"`
+	Prefix    string `json:"prefix"`
+	After     string `json:"after"`
+	Limit     int    `json:"limit"`
 }
 
 // Host is one entry of the platform's host list, which lags behind.
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -64,6 +64,17 @@
 	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
 }
 
+// LongestResumableTimeout returns the longest timeout of the routes whose streams can be resumed.
+func (c *Config) LongestResumableTimeout() time.Duration {
+	var longest time.Duration
+	for i := range c.Routes {
+		if c.Routes[i].Resumable {
+			longest = max(longest, c.Routes[i].Timeout)
+		}
+	}
+	return longest
+}
+
 // Service selects a service by the weights of the shares; at is in [0, 1).
 func (r *Route) Service(at float64) string {
 	total := 0.0
