Relay requests to other hosts when no target can be reached

Cause: a host could serve a request only over its own connections to targets. When none could be opened, each attempt waited 0.4 s and all targets were soon avoided, for up to 8 s, also after the links were back. Class: one path from a host to what it needs, with no way round.

Change: a host that has failed to connect to three targets or more, and to none successfully for 0.2 s, relays requests to a random ready host, which serves them like its own callers' but runs them at most once and relays them no further. A request that finds two targets unreachable, or none left, is relayed as well. The other host refuses if it holds another configuration, is stopping or reaches no target; then the next one is asked. A stream goes on at a third host at the build that began it. When a probe opens a connection again, avoided targets are used at once. A host without a path tells its peers that it takes no requests of theirs; the balancer is told nothing, as callers are served.

--- a/commands/route.go
+++ b/commands/route.go
@@ -95,8 +95,10 @@
 		Codec: platform.Codec{}, Transport: platform.NewTransport(), Translator: platform.Translator{},
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
 		Targets: client, Orders: client, CacheEvents: client, Freer: client,
-		CallerHandler: func(g *gateway.Gateway, stopping func() bool) http.Handler {
-			return &platform.Ingress{Gateway: g, Clock: clock.System{}, Log: logger, Stopping: stopping}
+		HostCaller: client, RelayPrefix: platform.RelayPrefix,
+		Handlers: func(g *gateway.Gateway, stopping func() bool) (callers, relayed http.Handler) {
+			in := &platform.Ingress{Gateway: g, Clock: clock.System{}, Log: logger, Stopping: stopping}
+			return in.NewHandlers(client)
 		},
 	}
 }
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,9 +77,12 @@
 	// cached prompt parts on store hosts.
 	CacheEvents gateway.CacheEventCaller
 	Freer       gateway.PartFreer
-	// CallerHandler returns the handler of callers' requests. stopping reports whether
-	// the host is shutting down.
-	CallerHandler func(g *gateway.Gateway, stopping func() bool) http.Handler
+	// HostCaller relays requests to other hosts.
+	HostCaller gateway.HostCaller
+	// Handlers returns the handlers of callers' requests and of those that other hosts relay,
+	// whose paths begin with RelayPrefix. stopping reports whether the host is shutting down.
+	Handlers    func(g *gateway.Gateway, stopping func() bool) (callers, relayed http.Handler)
+	RelayPrefix string
 
 	metrics      metrics.Registry
 	table        *platform.Client
@@ -151,7 +155,7 @@
 	}
 	h.gateway = &gateway.Gateway{
 		Host: cfg.Host, FailureDomain: cfg.FailureDomain, Config: cfg, Clock: h.Clock, Steady: h.Steady, Targets: h.Targets,
-		Fleet: h.fleet, Ledger: h.ledgerWriter, Freer: h.Freer, Requested: h.requested, Log: h.Log, Metrics: h.metrics,
+		Fleet: h.fleet, HostCaller: h.HostCaller, Ledger: h.ledgerWriter, Freer: h.Freer, Requested: h.requested, Log: h.Log, Metrics: h.metrics,
 	}
 	h.gateway.Init()
 	h.buildGroup(incarnation)
@@ -188,12 +192,13 @@
 		Params:   membership.Params{SuspicionTimeout: cfg.Peers.SuspicionTimeout.Duration, ForgetAfter: cfg.Peers.ForgetAfter.Duration},
 		Interval: cfg.Peers.Interval.Duration, FanOut: cfg.Peers.FanOut, CollectLoads: true, LoadMaxAge: cfg.Peers.LoadMaxAge.Duration,
 		HostList: h.hosts, Clock: h.Clock, Log: h.Log, HTTP: &http.Client{Transport: h.Transport},
-		Local: h.gateway, Ledger: h.table, Ready: h.ready,
+		Local: h.gateway, Ledger: h.table, Ready: func() bool { return h.ready() && !h.gateway.PathLost() },
 	}
 	h.group.Init()
 	h.ledgerWriter.Mirror, h.ledgerWriter.HostCount = h.group, h.group.HostCount
 	h.gateway.HostCount, h.gateway.HostRank = h.group.HostCount, h.group.HostRank
 	h.gateway.CacheRelay, h.group.Caches = h.group, h.gateway
+	h.gateway.Hosts = h.group
 }
 
 // rank maps a host name to a number in [0, 1), evenly distributed over the hosts.
@@ -238,6 +243,7 @@
 		func(ctx context.Context) error { h.gateway.WatchCaches(ctx, h.CacheEvents); return nil },
 		func(ctx context.Context) error { h.gateway.WatchStores(ctx, h.CacheEvents); return nil },
 		func(ctx context.Context) error { h.gateway.FollowCaches(ctx); return nil },
+		func(ctx context.Context) error { h.gateway.WatchPath(ctx); return nil },
 	}
 	for _, f := range h.copies {
 		tasks = append(tasks, f.Run)
@@ -400,7 +406,8 @@
 }
 
 func (h *RoutedHost) listen() ([]*listener, error) {
-	callers := h.CallerHandler(h.gateway, h.stopping.Load)
+	callers, relayed := h.Handlers(h.gateway, h.stopping.Load)
+	peers := h.group.Handler()
 	internal := echo.New()
 	internal.HideBanner, internal.HidePort = true, true
 	internal.GET("/readyz", operator.Readiness(h.ready))
@@ -414,7 +421,13 @@
 		{h.Config.Callers.Listen, callers, h.callerTimeouts},
 		{h.Config.Readiness.Listen, internal, defaultTimeouts},
 		{h.Config.Metrics.Listen, internal, defaultTimeouts},
-		{h.Config.Peers.Listen, h.group.Handler(), defaultTimeouts},
+		{h.Config.Peers.Listen, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.RequestURI, h.RelayPrefix+"/") {
+				relayed.ServeHTTP(w, r)
+				return
+			}
+			peers.ServeHTTP(w, r)
+		}), defaultTimeouts},
 	} {
 		socket, err := new(net.ListenConfig).Listen(context.Background(), "tcp", l.address)
 		if err != nil {
--- a/internal/gateway/alternative.go
+++ b/internal/gateway/alternative.go
@@ -36,8 +36,13 @@
 func (a *alternative) take() bool {
 	a.g.mu.Lock()
 	defer a.g.mu.Unlock()
-	at := a.g.chooseTarget(a.g.Clock.Now(), &a.request, a.work)
-	if at == nil || at.decision.Target == "" || !a.g.budget(a.work.Service).Spend() {
+	if !a.g.path.Lost() || a.g.Hosts == nil || a.work.Relayed || len(a.g.Hosts.ReadyPeers()) == 0 {
+		at := a.g.chooseTarget(a.g.Clock.Now(), &a.request, a.work)
+		if at == nil || at.decision.Target == "" {
+			return false
+		}
+	}
+	if !a.g.budget(a.work.Service).Spend() {
 		return false
 	}
 	a.g.count("attempts.repeated")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,7 +24,9 @@
 
 // attempt is one try of a request on one target.
 type attempt struct {
+	// target is the target, or the host that serves the request if byHost is set.
 	target   fleet.Target
+	byHost   bool
 	decision placement.Decision
 	ticket   placement.Ticket
 	// version is the name of the weights in the placer, such as "letters@3" or
@@ -334,6 +336,9 @@
 
 // recordAnswered records an attempt whose answer was passed on.
 func (r *run) recordAnswered(at *attempt) {
+	if at.byHost {
+		return
+	}
 	g := r.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/builds.go
+++ b/internal/gateway/builds.go
@@ -33,6 +33,10 @@
 // request if that isn't known.
 func (r *run) findBuild(ctx context.Context) *failure.Error {
 	w := r.work
+	if w.Build != nil {
+		r.request.Build = w.Build
+		return nil
+	}
 	if r.g.Builds == nil || w.Route.Kind != Stream || w.LastEventID == eventstream.NoID {
 		return nil
 	}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -45,6 +45,10 @@
 // Crashed reports that a target has crashed, unless alive is set.
 func (f *fakeTargets) Crashed(context.Context, fleet.Target) bool { return !f.alive }
 
+func (f *fakeTargets) Connect(context.Context, fleet.Target) error { return nil }
+
+func (f *fakeTargets) CloseIdle() {}
+
 func (f *fakeTargets) targets() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
+	"sassafrasplank.example/sassafrasplank/internal/reachability"
 	"sassafrasplank.example/sassafrasplank/internal/retry"
 	"sassafrasplank.example/sassafrasplank/internal/rollout"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
@@ -56,6 +57,9 @@
 	// Builds may be nil. Streams then begin at any build, and those that callers resume go on
 	// at any.
 	Builds StreamBuilds
+	// Hosts and HostCaller may be nil. Requests are then not relayed to other hosts.
+	Hosts      HostLister
+	HostCaller HostCaller
 	// CacheRelay may be nil. This host then polls all engines and stores.
 	CacheRelay CacheRelay
 	Log        *log.Logger
@@ -74,7 +78,12 @@
 	// avoidFactors maps an unreachable target to the multiple of AvoidFor for
 	// which it was last avoided. The entry is removed when the target answers.
 	avoidFactors map[string]int
-	stores       map[string]*cacheStore
+	// path tells whether targets can be reached at all, addresses are those of the listed ones.
+	path      reachability.Tracker
+	addresses map[string]bool
+	// avoidHosts maps hosts to which no requests are relayed to the end of that time.
+	avoidHosts map[string]time.Time
+	stores     map[string]*cacheStore
 	// cacheLogs contains the state of each source of cache events by name, roles which
 	// groups of them this host polls.
 	cacheLogs map[string]*cacheLog
@@ -109,6 +118,7 @@
 	g.weights = map[string]*modelWeights{}
 	g.swapping = map[string]bool{}
 	g.avoidFactors = map[string]int{}
+	g.avoidHosts = map[string]time.Time{}
 	g.stores = map[string]*cacheStore{}
 	g.cacheLogs = map[string]*cacheLog{}
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -41,6 +41,21 @@
 		Msg("placement: chosen")
 }
 
+func (r *run) logRelay(at *attempt) {
+	r.g.Log.Info().Str("part", "placement").
+		Str("requestId", r.work.ID).
+		Int("attempt", r.attempts).
+		Str("route", r.work.Route.Name).
+		Int64("configVersion", r.work.ConfigVersion).
+		Str("service", r.work.Service).
+		Str("host", at.target.ID).
+		Str("address", at.target.Address).
+		Int64("lastEvent", r.lastID).
+		Int("unreached", r.unreached).
+		Dur("age", r.g.Clock.Now().Sub(r.work.Received)).
+		Msg("placement: relayed to another host")
+}
+
 // partsText lists the parts of a prompt as KEY:TOKENS, separated by commas.
 func partsText(parts []work.Part) string {
 	var text []byte
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -44,12 +44,16 @@
 	if ctx.Err() != nil {
 		return r.contextFailure(ctx)
 	}
+	if at.byHost {
+		return r.afterRelay(at, err)
+	}
 	var refused *NotRunError
 	var broken *BrokenError
 	switch {
 	case errors.As(err, &refused):
 		return r.afterRefusal(at, refused)
 	case errors.As(err, &broken) && !broken.Sent:
+		r.unreached++
 		r.g.avoidUnreachable(at)
 		r.request.Exclude = append(r.request.Exclude, at.target.ID)
 		if r.attempts < r.g.Config.Retries.MaxAttempts {
@@ -88,7 +92,7 @@
 // reports whether it did.
 func (r *run) takeRetry() bool {
 	route := r.work.Route
-	return route.Repeatable() && r.possibleRuns < max(1, route.Attempts) && r.attempts < r.g.Config.Retries.MaxAttempts && r.spendBudget()
+	return route.Repeatable() && r.possibleRuns < r.maxRuns() && r.attempts < r.g.Config.Retries.MaxAttempts && r.spendBudget()
 }
 
 // retryableAnswerError is an error status of a target after which takeRetry has
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -83,12 +83,14 @@
 // has disconnected. From then on, only targets of the same build can go on with it.
 func (r *run) beginStream(at *attempt, reply Reply) bool {
 	r.begun = true
-	if r.g.Builds != nil && r.request.Resumable && r.work.LastEventID == eventstream.NoID {
+	if r.g.Builds != nil && r.request.Resumable && r.work.LastEventID == eventstream.NoID && !at.byHost {
 		r.g.Builds.Begin(at.target.Service, at.target.Build, r.work.ID)
 	}
 	r.request.Build = &at.target.Build
 	r.alternative.requireBuild(at.target.Build)
-	return !r.callerGone(r.sink.Begin(reply.Head()))
+	head := reply.Head()
+	head.Build = at.target.Build
+	return !r.callerGone(r.sink.Begin(head))
 }
 
 // callerGone reports whether writing to the caller has failed, and logs it if so.
@@ -108,6 +110,9 @@
 	r.g.count("requests.done")
 	r.g.measure("requests.wholeMicros", r.g.Clock.Now().Sub(r.work.Received))
 	r.logDone(at, status)
+	if at.byHost { // The host that placed the request records it.
+		return
+	}
 	r.g.Ledger.Add(ledger.Row{
 		RequestID:     r.work.ID,
 		ClientAccount: r.work.Account,
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -27,8 +27,11 @@
 	probe bool
 	// possibleRuns counts the attempts that may have run on a target.
 	possibleRuns int
-	// attempts counts all attempts, also those that reached no target.
-	attempts int
+	// attempts counts all attempts, also those that reached no target, and unreached those.
+	attempts, unreached int
+	// relays counts the attempts at other hosts, relayed are their names.
+	relays  int
+	relayed []string
 	// begun is set once the beginning of a stream has been sent to the caller.
 	begun bool
 	// lastID is the ID of the last event that the caller has received.
@@ -51,9 +54,11 @@
 	ctx, cancel := context.WithTimeout(ctx, w.Deadline.Sub(g.Clock.Now()))
 	defer cancel()
 	r := &run{g: g, work: w, sink: sink, lastID: w.LastEventID, request: g.placementRequest(w), keys: suspectKeys(w)}
-	g.mu.Lock()
-	g.budget(w.Service).Earn()
-	g.mu.Unlock()
+	if !w.Relayed { // The host that relays the request has counted it.
+		g.mu.Lock()
+		g.budget(w.Service).Earn()
+		g.mu.Unlock()
+	}
 	if g.Ledger.Full() {
 		g.count("requests.refusedLedger")
 		r.refuse(failure.Busy(failure.LedgerFull, r.retryAfter(), "this host can't record further placements in the ledger now"))
@@ -70,7 +75,7 @@
 // allowed.
 func (r *run) runAttempts(ctx context.Context) {
 	for {
-		at, refusal := r.place(ctx)
+		at, refusal := r.next(ctx)
 		if refusal != nil {
 			r.finish(refusal)
 			return
@@ -87,6 +92,21 @@
 	}
 }
 
+// next chooses another host if the targets can't be reached from this one, else a target.
+func (r *run) next(ctx context.Context) (*attempt, *failure.Error) {
+	if at := r.chooseHost(); at != nil {
+		return at, nil
+	}
+	at, refusal := r.place(ctx)
+	if refusal != nil && refusal.Code == failure.NoTarget && r.g.unreachable(r.work.Service) {
+		r.unreached = max(r.unreached, relayAfter)
+		if at := r.chooseHost(); at != nil {
+			return at, nil
+		}
+	}
+	return at, refusal
+}
+
 // place chooses a target. If none is usable, it retries for a short time, since
 // targets that swap their weights are soon available again.
 func (r *run) place(ctx context.Context) (*attempt, *failure.Error) {
@@ -165,14 +185,20 @@
 	})
 	defer wd.stop()
 	r.possibleRuns++
-	reply, err := r.g.Targets.Send(ctx, r.call(at))
+	reply, err := r.send(ctx, at)
 	if err != nil {
-		r.g.applyNotice(at.target, noticeOf(err))
+		if !at.byHost {
+			r.g.applyNotice(at.target, noticeOf(err))
+		}
 		r.uncountUnsent(err)
 		return r.recordEnd(ctx, at, err)
 	}
 	defer reply.Close()
-	r.g.applyReply(at.target, reply.Notice())
+	if at.byHost {
+		at.target.Build = reply.Notice().Build
+	} else {
+		r.g.applyReply(at.target, reply.Notice())
+	}
 	head := reply.Head()
 	if r.work.Route.Kind == Stream && head.Status == http.StatusOK {
 		return r.recordEnd(ctx, at, r.relayStream(at, reply, wd))
@@ -185,7 +211,7 @@
 // from a silent target.
 func (r *run) silenceLimit(at *attempt) time.Duration {
 	route := r.work.Route
-	if !route.Repeatable() || r.possibleRuns+1 >= max(1, route.Attempts) {
+	if !route.Repeatable() || r.possibleRuns+1 >= r.maxRuns() {
 		return 0
 	}
 	factor := r.g.Config.Retries.StallFactor
@@ -205,6 +231,19 @@
 	} else if ctx.Err() != nil {
 		return err
 	}
-	r.recordFailure(ctx, at, err)
+	if at.byHost {
+		r.logFailure(at, err, 0)
+	} else {
+		r.recordFailure(ctx, at, err)
+	}
 	return err
 }
+
+// maxRuns returns the number of targets on which the request may run. A host that relays a
+// request counts its runs.
+func (r *run) maxRuns() int {
+	if r.work.Relayed {
+		return 1
+	}
+	return max(1, r.work.Route.Attempts)
+}
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -49,6 +49,8 @@
 	// per second.
 	Limited bool
 	Limit   float64
+	// Build is the build of the target that answers, if another host has relayed its answer.
+	Build string
 }
 
 // Reply is the answer to a Call. It must be closed.
@@ -75,6 +77,10 @@
 	// Crashed reports whether the process of a target is gone, since its address refuses
 	// connections. A target that can't be reached for another reason may be alive.
 	Crashed(ctx context.Context, t fleet.Target) bool
+	// Connect opens a connection to a target and closes it.
+	Connect(ctx context.Context, t fleet.Target) error
+	// CloseIdle closes all idle connections.
+	CloseIdle()
 }
 
 // NotRunError reports that a target has not run a request and never will.
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -64,6 +64,10 @@
 	for _, t := range targets {
 		specs = append(specs, g.engineSpec(t, cfg.Services[t.Service].Engine))
 	}
+	g.addresses = make(map[string]bool, len(targets))
+	for _, t := range targets {
+		g.addresses[t.Address] = true
+	}
 	g.placer.SetEngines(now, specs)
 	g.retainLimits(targets)
 	for _, t := range targets {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -54,6 +54,9 @@
 	Status     Status
 }
 
+// Address returns the IP address and the port on which the member serves other hosts.
+func (m *Member) Address() string { return strings.TrimPrefix(m.URL, "http://") }
+
 // newerThan reports whether m replaces the known state of the same member.
 func (m *Member) newerThan(known *Member) bool {
 	if m.Incarnation != known.Incarnation {
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -117,7 +117,7 @@
 	// LoadMaxAge is how long the loads in a peer's report are used. The default is
 	// reportMaxAge.
 	LoadMaxAge time.Duration
-	// Ready reports whether the balancer may send requests to this host.
+	// Ready reports whether this host takes requests, also of other hosts.
 	Ready func() bool
 
 	// client calls peers. It is HTTP with a limit on answers.
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -43,7 +43,7 @@
 	ContactAge       time.Duration
 	ContactKnown     bool
 	RequestsInFlight int
-	// Ready reports whether the balancer may send requests to the host.
+	// Ready reports whether the host takes requests, also of other hosts.
 	Ready    bool
 	Demands  []AccountDemand
 	Loads    []placement.TargetLoad
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"sassafrasplank.example/sassafrasplank/internal/membership"
@@ -95,6 +97,24 @@
 	return fresh == g.members.AliveCount()-1
 }
 
+// ReadyPeers returns the live peers that take requests, according to their reports.
+func (g *Group) ReadyPeers() []membership.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []membership.Member
+	now := g.Clock.Now()
+	for name, received := range g.reports {
+		if !received.report.Ready || now.Sub(received.at) > reportMaxAge {
+			continue
+		}
+		if m, known := g.members.Get(name); known && m.Status == membership.Alive && m.Incarnation > 0 {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b membership.Member) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
 // Loads returns the load that live peers have placed on each target, added up over
 // the peers. The slowness is the highest that a peer reported.
 func (g *Group) Loads() map[string]placement.TargetLoad {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -48,6 +48,11 @@
 	// Origin is the ID of the request by which the caller received the first event of the
 	// stream that it resumes, empty if it doesn't say.
 	Origin string
+	// Relayed is set if another host relays the request because it can't reach the targets.
+	// Build is then the build that began the stream which the request resumes, nil if it
+	// resumes none.
+	Relayed bool
+	Build   *string
 	// Payload is data that the ingress passes to the target client. The gateway does
 	// not read it.
 	Payload any
@@ -57,6 +62,8 @@
 type Head struct {
 	Status int
 	Header http.Header
+	// Build is the build of the target, for streams only.
+	Build string
 }
 
 // Sink receives the answer to one request. At most one of Answer, Refuse and Begin
