Let the lease of swaps go when its holder reaches no target

It ends, and another host takes it after the quiet period, as when the holder can't reach the table service.

Result: the test with three leaders fails without the check (the first holder keeps the lease for 25 s, targets keep version 1) and passes with it; no two holders send orders within the quiet period.

--- a/internal/rollout/leader.go
+++ b/internal/rollout/leader.go
@@ -95,7 +95,9 @@
 	OnSwapping func(closed, draining []string)
 	// Cleaner may be nil.
 	Cleaner Cleaner
-	Lease   lease.State
+	// PathLost reports whether this host reaches no target. It may be nil.
+	PathLost func() bool
+	Lease    lease.State
 
 	mu sync.Mutex
 	// wantedSince is when this host began to need the lease; zero if it does not.
@@ -191,6 +193,12 @@
 		l.mu.Unlock()
 		return
 	}
+	if l.PathLost != nil && l.PathLost() {
+		// The lease ends, so that a host that can send orders takes it.
+		l.wantedSince = time.Time{}
+		l.mu.Unlock()
+		return
+	}
 	if l.wantedSince.IsZero() {
 		l.wantedSince = now
 	}
--- a/internal/rollout/leader_test.go
+++ b/internal/rollout/leader_test.go
@@ -96,6 +96,20 @@
 	received []receivedOrder
 	// refuse makes all targets refuse orders.
 	refuse atomic.Bool
+	// unreachableFor is the holder that reaches no target, if any.
+	unreachableFor string
+}
+
+func (e *fakeEngines) cutOff(holder string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unreachableFor = holder
+}
+
+func (e *fakeEngines) isCutOff(holder string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return holder == e.unreachableFor
 }
 
 type receivedOrder struct {
@@ -113,8 +127,8 @@
 func (e *fakeEngines) OrderWeights(_ context.Context, order rollout.Order, holder string, fencingToken int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.refuse.Load() {
-		return errors.New("refused")
+	if e.refuse.Load() || holder == e.unreachableFor {
+		return errors.New("refused or unreachable")
 	}
 	e.received = append(e.received, receivedOrder{holder, fencingToken, time.Now()})
 	if e.orders[order.Target.ID] != order.After {
@@ -187,7 +201,7 @@
 			leaders[name] = &rollout.Leader{
 				Host: name, Table: tableClient{row, name}, Fleet: view, Targets: e, Clock: clock.System{}, Steady: steady,
 				Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Requested: &rollout.RequestedVersions{}, Plan: *newPlan(), Rank: float64(i) / 3,
-				OnSwapping: func(_, _ []string) {},
+				OnSwapping: func(_, _ []string) {}, PathLost: func() bool { return e.isCutOff(name) },
 				Lease:      lease.State{Host: name, Incarnation: 1, TTL: testTTL, QuietPeriod: testQuietPeriod},
 			}
 			leaders[name].ApplyRows(nil, true)
@@ -272,6 +286,20 @@
 	})
 }
 
+// A holder that reaches no target must not keep the lease from hosts that do.
+func TestHolderWithoutPathToTargetsGivesUpLease(t *testing.T) {
+	runLeaders(t, func(row *leaseRow, e *fakeEngines, leaders map[string]*rollout.Leader) {
+		requestVersion(leaders, 2)
+		time.Sleep(1500 * time.Millisecond)
+		first := leaseHolder(row)
+		e.cutOff(first)
+		time.Sleep(25 * time.Second)
+		if !e.done(2) || leaseHolder(row) == first {
+			t.Errorf("holder %q, first holder %q, versions %v; want another holder and version 2 on all targets", leaseHolder(row), first, e.versions)
+		}
+	})
+}
+
 // If the answer to a lease write is lost, the leader reads the row again before
 // it acts on the lease.
 func TestLeaseWriteWithLostAnswer(t *testing.T) {
