Keep within the room of brittle targets, and leave those that reject

Cause: no code read the field. Each host filled a target until it rejected, went on to the next at once, and came back with the next request.

Change: a brittle target gets from each host at most its part of the slots and of the memory, by the host's rank, and up to two parts while reports show it nearly empty. A host that is rejected leaves it for so long that all hosts together use half of the rejections. Hosts tell each other of brittle targets. The statements of targets are kept by one type for this and for limits of calls.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -168,6 +168,9 @@
 // MergeLimits does nothing: targets of this path state no limits.
 func (d *Dispatcher) MergeLimits([]peer.TargetLimit) {}
 
+// MergeBrittle does nothing: targets of this path don't say whether they are brittle.
+func (d *Dispatcher) MergeBrittle([]peer.TargetLimit) {}
+
 // MergeLeaving applies the leaving targets reported by a peer.
 func (d *Dispatcher) MergeLeaving(leaving []peer.LeavingTarget) {
 	now := d.Clock.Now()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -166,6 +166,7 @@
 // must be held.
 func (g *Gateway) chooseTarget(now time.Time, req *placement.Request, w *work.Work) *attempt {
 	g.paceAll(now)
+	g.restrictAll()
 	if w.Model == "" {
 		return g.tryVersion(now, req, w, plainVersion, 0)
 	}
@@ -179,6 +180,8 @@
 		return fmt.Sprintf("the least used target's memory would be %.2f full, the limit is %.2f", d.MemoryTaken, req.MaxMemoryShare)
 	case placement.ReasonNoLongSlot:
 		return "no target has a free slot for a long answer"
+	case placement.ReasonNoRoom:
+		return "the request might have to wait at each target, and all that take it are brittle"
 	case placement.ReasonQuiet:
 		return "every usable target takes no further requests of this host for some time"
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,8 @@
 	leaving []leavingTarget
 	// limits are the limits of calls that targets have stated.
 	limits targetlimit.Limits
+	// brittle are the targets that can reject few requests.
+	brittle targetlimit.Brittle
 	// bytesPerToken is the size of a cached token on the engines, and fetchRate
 	// the bandwidth of their links in bytes per second.
 	bytesPerToken, fetchRate float64
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -83,16 +83,22 @@
 	for _, t := range targets {
 		started[t.ID] = t.Started
 	}
-	g.limits.Retain(func(target string, at int64) bool {
-		listed, ok := started[target]
-		return ok && listed == at
-	})
+	listed := func(target string, at int64) bool {
+		present, ok := started[target]
+		return ok && present == at
+	}
+	g.limits.Retain(listed)
+	g.brittle.Retain(listed)
 }
 
 // reportLimits returns what peers are told of the limits of targets. The lock must be held.
 func (g *Gateway) reportLimits(now time.Time) []peer.TargetLimit {
+	return reportStatements(now, &g.limits.Statements)
+}
+
+func reportStatements(now time.Time, statements *targetlimit.Statements) []peer.TargetLimit {
 	var list []peer.TargetLimit
-	for _, s := range g.limits.Report(now, limitReportAge, maxReportLimits) {
+	for _, s := range statements.Report(now, limitReportAge, maxReportLimits) {
 		list = append(list, peer.TargetLimit{Target: s.Target, Started: s.Started, Limited: s.Limited, PerSecond: s.PerSecond, Age: now.Sub(s.At)})
 	}
 	return list
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -34,6 +34,9 @@
 	if n.Limited {
 		g.addLimit(targetlimit.Statement{Target: t.ID, Started: t.Started, Limited: true, PerSecond: n.Limit, At: g.Clock.Now()}, "answer")
 	}
+	if n.Brittle {
+		g.addBrittle(targetlimit.Statement{Target: t.ID, Started: t.Started, Limited: true, PerSecond: n.RejectLimit, At: g.Clock.Now()}, "answer")
+	}
 	if n.QuietFor <= 0 {
 		return
 	}
@@ -47,15 +50,19 @@
 }
 
 // applyReply applies the notice of an answer to a request. An answer without a limit says
-// that the target has none any more.
+// that the target has none any more, and one that doesn't say that it is brittle that it isn't.
 func (g *Gateway) applyReply(t fleet.Target, n Notice) {
 	g.applyNotice(t, n)
 	g.mu.Lock()
 	lifted := !n.Limited && g.limits.Limited(t.ID)
+	sturdy := !n.Brittle && g.brittle.Limited(t.ID)
 	g.mu.Unlock()
 	if lifted {
 		g.addLimit(targetlimit.Statement{Target: t.ID, Started: t.Started, At: g.Clock.Now()}, "answer")
 	}
+	if sturdy {
+		g.addBrittle(targetlimit.Statement{Target: t.ID, Started: t.Started, At: g.Clock.Now()}, "answer")
+	}
 }
 
 // targetLeaving records that a target is leaving, according to one of its answers or to
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -72,6 +72,8 @@
 	r.request.Exclude = append(r.request.Exclude, at.target.ID)
 	if refused.Misdirected {
 		r.g.avoidMisdirected(at)
+	} else {
+		r.g.leaveBrittle(at.target.ID)
 	}
 	if r.attempts < r.g.Config.Retries.MaxAttempts && r.spendBudget() {
 		return nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -61,6 +61,7 @@
 	report.Suspects = g.suspects.Report(now, maxReportSuspects)
 	report.Leaving = g.reportLeaving(now)
 	report.Limits = g.reportLimits(now)
+	report.Brittle = reportStatements(now, &g.brittle.Statements)
 	return report
 }
 
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -49,6 +49,10 @@
 	// per second.
 	Limited bool
 	Limit   float64
+	// Brittle reports that the target can reject no more than RejectLimit requests of all hosts
+	// together per second for want of room.
+	Brittle     bool
+	RejectLimit float64
 	// Build is the build of the target that answers, if another host has relayed its answer.
 	Build string
 }
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -52,8 +52,10 @@
 	MergeSuspects(suspects []retry.Suspect)
 	// MergeLeaving applies the leaving targets that a peer reported.
 	MergeLeaving(leaving []LeavingTarget)
-	// MergeLimits applies the limits of targets that a peer reported.
+	// MergeLimits applies the limits of targets that a peer reported, and MergeBrittle what
+	// brittle targets have stated to it.
 	MergeLimits(limits []TargetLimit)
+	MergeBrittle(brittle []TargetLimit)
 }
 
 // PoolDecider admits and places requests of other hosts as the owner of a pool.
@@ -360,6 +362,7 @@
 	g.Local.MergeSuspects(decoded.Suspects)
 	g.Local.MergeLeaving(decoded.Leaving)
 	g.Local.MergeLimits(decoded.Limits)
+	g.Local.MergeBrittle(decoded.Brittle)
 	return nil
 }
 
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -52,9 +52,12 @@
 	// Leaving are targets whose answers say that they are leaving.
 	Leaving []LeavingTarget
 	Limits  []TargetLimit
+	// Brittle is what brittle targets have stated about the requests that they can reject.
+	Brittle []TargetLimit
 }
 
-// TargetLimit is what a process of a target has stated about its limit of calls.
+// TargetLimit is what a process of a target has stated about its limit of calls, or of requests
+// that it can reject.
 type TargetLimit struct {
 	Target string
 	// Started is the start time of the process in Unix milliseconds, 0 if unknown.
@@ -107,20 +110,32 @@
 	for _, t := range r.Leaving {
 		encoded.Leaving = append(encoded.Leaving, &wire.LeavingTarget{Target: t.Target, Started: t.Started})
 	}
-	for _, l := range r.Limits {
-		encoded.Limits = append(encoded.Limits, &wire.TargetLimit{
+	encoded.Limits, encoded.Brittle = encodeLimits(r.Limits), encodeLimits(r.Brittle)
+	return encoded
+}
+
+func encodeLimits(limits []TargetLimit) []*wire.TargetLimit {
+	var encoded []*wire.TargetLimit
+	for _, l := range limits {
+		encoded = append(encoded, &wire.TargetLimit{
 			Target: l.Target, Started: l.Started, Limited: l.Limited, PerSecond: l.PerSecond, AgeMillis: l.Age.Milliseconds(),
 		})
 	}
 	return encoded
 }
 
+// isTooLong reports whether a report has more entries of a kind than hosts send.
+func isTooLong(w *wire.Report) bool {
+	return len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects || len(w.Tables) > maxTables ||
+		len(w.Leaving) > maxLeaving || len(w.Limits) > maxLimits || len(w.Brittle) > maxLimits
+}
+
 // decodeReport validates and converts a report.
 func decodeReport(w *wire.Report) (Report, error) {
 	if w == nil {
 		return Report{}, errors.New("peer report: missing from the message")
 	}
-	if len(w.Demands) > maxDemands || len(w.Loads) > maxLoads || len(w.Suspects) > maxSuspects || len(w.Tables) > maxTables || len(w.Leaving) > maxLeaving || len(w.Limits) > maxLimits {
+	if isTooLong(w) {
 		return Report{}, errors.New("peer report: more demands, loads, suspects, tables, leaving targets or limits than allowed")
 	}
 	if w.Revision < 0 || w.HighestRevision < w.Revision || w.RequestsInFlight < 0 {
@@ -147,19 +162,23 @@
 	if len(loads) > 0 {
 		r.Loads = loads
 	}
-	return r, errors.Join(r.decodeDemands(w.Demands), err, r.decodeSuspects(w.Suspects), r.decodeLimits(w.Limits))
+	limits, limitErr := decodeLimits(w.Limits)
+	brittle, brittleErr := decodeLimits(w.Brittle)
+	r.Limits, r.Brittle = limits, brittle
+	return r, errors.Join(r.decodeDemands(w.Demands), err, r.decodeSuspects(w.Suspects), limitErr, brittleErr)
 }
 
-func (r *Report) decodeLimits(limits []*wire.TargetLimit) error {
+func decodeLimits(limits []*wire.TargetLimit) ([]TargetLimit, error) {
+	var decoded []TargetLimit
 	for _, l := range limits {
 		if len(l.Target) > maxNameBytes || !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) || l.AgeMillis < 0 { // This also excludes NaN.
-			return fmt.Errorf("peer report: limit of target %.40q is out of range or the name is too long", l.Target)
+			return nil, fmt.Errorf("peer report: limit of target %.40q is out of range or the name is too long", l.Target)
 		}
-		r.Limits = append(r.Limits, TargetLimit{
+		decoded = append(decoded, TargetLimit{
 			Target: l.Target, Started: l.Started, Limited: l.Limited, PerSecond: l.PerSecond, Age: time.Duration(l.AgeMillis) * time.Millisecond,
 		})
 	}
-	return nil
+	return decoded, nil
 }
 
 func (r *Report) decodeDemands(demands []*wire.AccountDemand) error {
--- a/internal/peer/report_test.go
+++ b/internal/peer/report_test.go
@@ -16,6 +16,7 @@
 func sampleReport() Report {
 	return Report{
 		Revision: 3, HighestRevision: 4, ContactAge: 2 * time.Second, ContactKnown: true, RequestsInFlight: 5, Ready: true,
+		Brittle: []TargetLimit{{Target: "b", Started: 3, Limited: true, PerSecond: 4.5, Age: time.Second}},
 		Demands: []AccountDemand{{Account: "orders", TokensPerSecond: 10, InFlight: 2}},
 		Loads:   []placement.TargetLoad{{Target: "engine-1", Requests: 2, PrefillTokens: 100, Slowness: 1, HeldTokens: 700}},
 		Suspects: []retry.Suspect{{
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -35,6 +35,7 @@
 func (e *environment) MergeSuspects([]retry.Suspect)                  {}
 func (e *environment) MergeLeaving([]LeavingTarget)                   {}
 func (e *environment) MergeLimits([]TargetLimit)                      {}
+func (e *environment) MergeBrittle([]TargetLimit)                     {}
 func (e *environment) TargetLeaving(string)                           {}
 func (e *environment) ObserveFor(*wire.ObserveRequest)                {}
 func (e *environment) Current() *record.Set                           { return record.NewSet() }
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -73,6 +73,8 @@
 	ReasonNoLongSlot Reason = "noLongSlot"
 	ReasonNoMemory   Reason = "noMemory"
 	ReasonQuiet      Reason = "quiet"
+	// ReasonNoRoom means that a request might have to wait on every restricted target.
+	ReasonNoRoom Reason = "noRoom"
 )
 
 // Estimate is the expected time to first token on one target, by component.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -74,6 +74,8 @@
 	// quietUntil is until when the engine wants no requests of this host, and pacedUntil when
 	// its limit of requests allows the next one of this host.
 	quietUntil, pacedUntil time.Time
+	// restriction limits the requests of this host, nil for no limit.
+	restriction *Restriction
 	// failureShare is the share of recent requests that failed, as of
 	// failureShareAt.
 	failureShare   float64
@@ -156,7 +158,7 @@
 		e.incarnation = report.Incarnation
 		e.leaving = false
 		e.leavingAt = time.Time{}
-		e.quietUntil, e.pacedUntil = time.Time{}, time.Time{}
+		e.quietUntil, e.pacedUntil, e.restriction = time.Time{}, time.Time{}, nil
 	}
 	e.versions = report.Versions
 	// A delayed report must not revoke a newer MarkLeaving.
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -69,7 +69,7 @@
 // consider estimates the candidates that may run a request. If there are none, it sets
 // the reason.
 func (b *Placer) consider(now time.Time, pool *enginePool, req *Request, d *Decision, storedBlocks int, storeLink *link) {
-	longFull, memoryFull := false, false
+	obstacle := len(obstacles)
 	d.QuietUntil = time.Time{}
 	for _, number := range b.candidates {
 		e := b.engines[number]
@@ -78,31 +78,40 @@
 		}
 		if until := e.closedUntil(); now.Before(until) {
 			d.recordQuiet(until)
+			obstacle = min(obstacle, slices.Index(obstacles, ReasonQuiet))
 			continue
 		}
 		pool.expectPeers(now, e)
-		if req.Long && e.longInFlight >= e.longSlots(b.params.LongSlotPercent) {
-			longFull = true
-			continue
-		}
-		if taken := e.memoryTaken(req); req.MaxMemoryShare > 0 && taken > req.MaxMemoryShare {
-			if !memoryFull || taken < d.MemoryTaken {
-				d.MemoryTaken = taken
-			}
-			memoryFull = true
+		if reason := b.obstacle(e, req, d); reason != "" {
+			obstacle = min(obstacle, slices.Index(obstacles, reason))
 			continue
 		}
 		d.Considered = append(d.Considered, b.estimate(now, pool, e, req, storedBlocks, storeLink))
 	}
-	switch {
-	case len(d.Considered) > 0:
-	case memoryFull:
-		d.Reason = ReasonNoMemory
-	case longFull:
-		d.Reason = ReasonNoLongSlot
-	case !d.QuietUntil.IsZero():
-		d.Reason = ReasonQuiet
+	if len(d.Considered) == 0 && obstacle < len(obstacles) {
+		d.Reason = obstacles[obstacle]
+	}
+}
+
+// obstacles are the reasons why eligible engines take no request, in the order in which they are
+// stated.
+var obstacles = []Reason{ReasonNoMemory, ReasonNoLongSlot, ReasonNoRoom, ReasonQuiet}
+
+// obstacle returns why a request may not be placed on an engine now, or an empty string if it may.
+func (b *Placer) obstacle(e *engine, req *Request, d *Decision) Reason {
+	if !e.hasRoom(req) {
+		return ReasonNoRoom
+	}
+	if req.Long && e.longInFlight >= e.longSlots(b.params.LongSlotPercent) {
+		return ReasonNoLongSlot
+	}
+	if taken := e.memoryTaken(req); req.MaxMemoryShare > 0 && taken > req.MaxMemoryShare {
+		if d.MemoryTaken == 0 || taken < d.MemoryTaken {
+			d.MemoryTaken = taken
+		}
+		return ReasonNoMemory
 	}
+	return ""
 }
 
 // gatherCandidates sets the candidates of a request and the number of blocks of
--- a/internal/rollout/leader_test.go
+++ b/internal/rollout/leader_test.go
@@ -202,7 +202,7 @@
 				Host: name, Table: tableClient{row, name}, Fleet: view, Targets: e, Clock: clock.System{}, Steady: steady,
 				Log: &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}}, Requested: &rollout.RequestedVersions{}, Plan: *newPlan(), Rank: float64(i) / 3,
 				OnSwapping: func(_, _ []string) {}, PathLost: func() bool { return e.isCutOff(name) },
-				Lease:      lease.State{Host: name, Incarnation: 1, TTL: testTTL, QuietPeriod: testQuietPeriod},
+				Lease: lease.State{Host: name, Incarnation: 1, TTL: testTTL, QuietPeriod: testQuietPeriod},
 			}
 			leaders[name].ApplyRows(nil, true)
 		}
--- a/internal/targetlimit/limits.go
+++ b/internal/targetlimit/limits.go
@@ -3,11 +3,7 @@
 // no clock and starts no goroutine.
 package targetlimit
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// burstTime is the time over which hosts together may save up calls.
@@ -22,19 +18,6 @@
 	closedTime = time.Second
 )
 
-// Statement is what a process of a target has stated about its limit.
-type Statement struct {
-	Target string
-	// Started is the start time of the process in Unix milliseconds, 0 if unknown.
-	Started int64
-	// Limited reports whether there is a limit. PerSecond is the number of calls per second
-	// from all hosts together.
-	Limited   bool
-	PerSecond float64
-	// At is when the target stated it.
-	At time.Time
-}
-
 // Position is the position of a host among the live ones, in an order that differs from
 // target to target.
 type Position struct {
@@ -42,131 +25,88 @@
 	Hosts, Rank int
 }
 
-// Limits are the latest statements of targets, and the calls of this host. The zero value is
-// ready to use. It is not safe for concurrent use.
+// Limits are the latest statements of targets about the calls that they take, and the calls of
+// this host. The zero value is ready to use. It is not safe for concurrent use.
 type Limits struct {
-	targets map[string]*limit
-}
+	Statements
 
-type limit struct {
-	Statement
+	balances map[string]*balance
+}
 
-	// balance is the number of calls that this host has saved up, as of balanceAt. It is
-	// negative after calls that could not wait.
-	balance   float64
-	balanceAt time.Time
+// balance is the number of calls that this host has saved up, as of at. It is negative after
+// calls that could not wait.
+type balance struct {
+	calls float64
+	at    time.Time
 }
 
-// Add records a statement and reports whether it changes the limit of the target. A
-// statement that is older than the known one, or that comes from an earlier process, is
-// ignored. A host begins without saved calls.
+// Add records a statement, like Statements.Add. A host begins without saved calls.
 func (l *Limits) Add(now time.Time, s Statement) bool {
-	known := l.targets[s.Target]
-	if known == nil && !s.Limited {
-		return false
-	}
-	if known == nil {
-		if l.targets == nil {
-			l.targets = map[string]*limit{}
+	limited := l.Limited(s.Target)
+	changed := l.Statements.Add(s)
+	if !limited && l.Limited(s.Target) {
+		if l.balances == nil {
+			l.balances = map[string]*balance{}
 		}
-		l.targets[s.Target] = &limit{Statement: s, balanceAt: now}
-		return true
-	}
-	if s.Started < known.Started || (s.Started == known.Started && s.At.Before(known.At)) {
-		return false
+		l.balances[s.Target] = &balance{at: now}
 	}
-	changed := s.Limited != known.Limited || s.PerSecond != known.PerSecond
-	if s.Limited && !known.Limited {
-		known.balance, known.balanceAt = 0, now
-	}
-	known.Statement = s
 	return changed
 }
 
-// Retain forgets the targets for which keep returns false, given the start time of the
-// process that stated the limit.
+// Retain is like Statements.Retain.
 func (l *Limits) Retain(keep func(target string, started int64) bool) {
-	for name, known := range l.targets {
-		if !keep(name, known.Started) {
-			delete(l.targets, name)
-		}
-	}
-}
-
-// Limited reports whether a target has a limit.
-func (l *Limits) Limited(target string) bool {
-	known := l.targets[target]
-	return known != nil && known.Limited
-}
-
-// Targets returns the names of the targets with a limit.
-func (l *Limits) Targets() []string {
-	var names []string
-	for name, known := range l.targets {
-		if known.Limited {
-			names = append(names, name)
+	l.Statements.Retain(keep)
+	for name := range l.balances {
+		if !l.Limited(name) {
+			delete(l.balances, name)
 		}
 	}
-	return names
 }
 
 // Wait returns how long this host has to wait before its next call to a target, 0 if it may
 // call now.
 func (l *Limits) Wait(now time.Time, target string, p Position) time.Duration {
-	known := l.targets[target]
-	if known == nil || !known.Limited {
+	if !l.Limited(target) {
 		return 0
 	}
-	perSecond, _ := known.share(p)
-	known.save(now, p)
+	perSecond, _ := l.share(target, p)
+	saved := l.save(now, target, p)
 	switch {
 	case perSecond == 0:
 		return closedTime
-	case known.balance >= 1:
+	case saved.calls >= 1:
 		return 0
 	default:
-		return time.Duration((1 - known.balance) / perSecond * float64(time.Second))
+		return time.Duration((1 - saved.calls) / perSecond * float64(time.Second))
 	}
 }
 
 // Take records a call to a target, which is made now whether or not Wait allows it.
 func (l *Limits) Take(now time.Time, target string, p Position) {
-	if known := l.targets[target]; known != nil && known.Limited {
-		known.save(now, p)
-		known.balance--
+	if l.Limited(target) {
+		l.save(now, target, p).calls--
 	}
 }
 
 // share returns the rate of this host and the number of calls that it may save up. A limit is
 // divided among so few hosts that one saved call of each is within burstTime.
-func (k *limit) share(p Position) (perSecond, burst float64) {
-	hosts := min(max(1, p.Hosts), max(1, int(k.PerSecond*burstTime.Seconds())))
+func (l *Limits) share(target string, p Position) (perSecond, burst float64) {
+	limit := l.targets[target].PerSecond
+	hosts := min(max(1, p.Hosts), max(1, int(limit*burstTime.Seconds())))
 	if p.Rank >= hosts {
 		return 0, 0
 	}
-	perSecond = max(minPerSecond, usedShare*k.PerSecond) / float64(hosts)
+	perSecond = max(minPerSecond, usedShare*limit) / float64(hosts)
 	return perSecond, max(1, perSecond*burstTime.Seconds())
 }
 
-// save adds the calls that this host has saved up since balanceAt.
-func (k *limit) save(now time.Time, p Position) {
-	perSecond, burst := k.share(p)
-	if elapsed := now.Sub(k.balanceAt); elapsed > 0 {
-		k.balance += perSecond * elapsed.Seconds()
-	}
-	k.balance, k.balanceAt = min(burst, k.balance), now
-}
-
-// Report returns up to n statements that are no older than maxAge, the latest first.
-func (l *Limits) Report(now time.Time, maxAge time.Duration, n int) []Statement {
-	var list []Statement
-	for _, known := range l.targets {
-		if now.Sub(known.At) <= maxAge {
-			list = append(list, known.Statement)
-		}
+// save adds the calls that this host has saved up since the last time, and returns the balance.
+func (l *Limits) save(now time.Time, target string, p Position) *balance {
+	saved := l.balances[target]
+	perSecond, burst := l.share(target, p)
+	if elapsed := now.Sub(saved.at); elapsed > 0 {
+		saved.calls += perSecond * elapsed.Seconds()
 	}
-	slices.SortFunc(list, func(a, b Statement) int {
-		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Target, b.Target))
-	})
-	return list[:min(n, len(list))]
+	saved.calls, saved.at = min(burst, saved.calls), now
+	return saved
 }
