Relay rows that are nested as deeply as JSON may be

Can it happen here: yes, behind peers. A row whose value is nested 10,000 levels deep is valid JSON, so it went into the message for a peer as it stands; with the level of the row around it, the peer could not decode it, nor any other row of that answer, and asked again and again. 10 of 30 requests reached a target that had left. Deeper values weren't taken for JSON and passed as bytes. Reading the table service itself isn't affected, as values come as base64 there. No process ended.

Cause: it was checked whether the value is valid, not whether the message with it is. Class: one element that can't be decoded fails the message that carries it, as in relayed-rows.md.

Change: the encoded row is checked; the value goes as bytes if that isn't valid.

Result: TestRemovedOrInvalidRowDoesNotStopRelayToPeers with a row of 10,000 levels failed before and passes now; 30,000 levels and numbers that are too large passed before as well.

--- a/internal/peer/tables.go
+++ b/internal/peer/tables.go
@@ -124,18 +124,19 @@
 type relayedRow struct {
 	platform.Row
 
-	// Raw is the value of a row whose value isn't JSON, which Row can't contain when it is
-	// encoded. Other writers of a table can leave such rows.
+	// Raw is the value of a row whose value isn't JSON, or is nested as deeply as a document may
+	// be, which Row can't contain when it is encoded. Other writers of a table can leave such rows.
 	Raw []byte `json:"raw,omitempty"`
 }
 
 // encodeRow encodes a row for a peer. The value may be empty, as in a removed row, or
 // any bytes.
 func encodeRow(row platform.Row) ([]byte, error) {
-	relayed := relayedRow{Row: row}
-	if !json.Valid(row.Value) {
-		relayed.Value, relayed.Raw = nil, row.Value
+	if data, err := json.Marshal(relayedRow{Row: row}); err == nil && json.Valid(data) {
+		return data, nil
 	}
+	relayed := relayedRow{Row: row, Raw: row.Value}
+	relayed.Value = nil
 	return json.Marshal(relayed)
 }
 
