Poll caches in eight groups as soon as there are sources enough

At 65 hosts before 60 engines that are 2 groups instead of 8, polled by 12 instead of 48 hosts. Each of these answers a sixth of the others for half of all events, some over links of 10 Mbit/s, so answers come late or time out.

The age of relayed events is measured and logged each 10 s.

--- a/internal/gateway/cacherelay.go
+++ b/internal/gateway/cacherelay.go
@@ -18,8 +18,12 @@
 // polls from, few hosts poll it and the others ask one of those. Sources form groups, so
 // that one call to a peer brings the events of many.
 const (
-	// maxGroupSources is the usual number of sources in a group.
-	maxGroupSources = 64
+	// smallGroup and largeGroup are the usual numbers of sources in a group, the latter if there
+	// would be more than mostSmallGroups. Large groups take fewer calls of each host, but more of
+	// the links of the hosts that poll them, so that events arrive late.
+	smallGroup      = 16
+	largeGroup      = 64
+	mostSmallGroups = 8
 	// groupWatchers is the number of hosts that poll the sources of a group.
 	groupWatchers = 6
 	// relayCycle is the time between two calls for the events of a group.
@@ -163,7 +167,8 @@
 // groupCount returns the number of groups of n sources, a power of two, so that it seldom
 // changes.
 func groupCount(n int) uint64 {
-	return 1 << bits.Len(uint(max(0, n-1)/maxGroupSources))
+	groups := func(size int) uint64 { return 1 << bits.Len(uint(max(0, n-1)/size)) }
+	return min(groups(smallGroup), max(mostSmallGroups, groups(largeGroup)))
 }
 
 // pollsSource reports whether this host polls a source itself. limit is the number of
@@ -220,6 +225,7 @@
 	var calls sync.WaitGroup
 	for ctx.Err() == nil {
 		round++
+		g.logRelayAges()
 		groups := g.followedGroups()
 		pause := relayCycle
 		for group, members := range groups {
@@ -264,9 +270,13 @@
 	updates, err := g.CacheRelay.PeerCacheEvents(ctx, watcher, positions)
 	if err != nil {
 		g.count("cacheEvents.relayFailed")
+		g.relayAges.addFailure()
 		return
 	}
 	for _, u := range updates {
+		age := g.Steady.Now().Sub(sentAt) + u.Age
+		g.measure("cacheEvents.relayAgeMicros", age)
+		g.relayAges.add(age)
 		// The watcher wrote its answer after sentAt, so the events are no older than that.
 		g.applyEvents(u.Source, CacheEvents{Epoch: u.Epoch, Next: u.Next, Clock: u.Clock, Gap: u.Gap, Events: u.Events}, sentAt.Add(-u.Age))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,7 @@
 	// groups of them this host polls.
 	cacheLogs map[string]*cacheLog
 	roles     cacheRoles
+	relayAges relayAges
 	// leaving contains the latest targets that said in an answer that they are leaving.
 	leaving []leavingTarget
 	// limits are the limits of calls that targets have stated.
