--- a/internal/gateway/hostrelay.go
+++ b/internal/gateway/hostrelay.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxRelays limits the hosts to which one request is relayed.
-	maxRelays = 3
+	maxRelays = 5
 	// relayAfter is the number of unreachable targets after which a request is relayed.
 	relayAfter = 2
 	// avoidHostFor is how long no requests are relayed to a host that can't take them.
