--- a/internal/gateway/hostrelay.go
+++ b/internal/gateway/hostrelay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -94,6 +95,21 @@
 	return fleet.Target{ID: m.Name, Address: m.Address(), FailureDomain: m.FailureDomain}, true
 }
 
+// RefuseRelayed returns why this host takes no request of another one that may be handled by
+// versions of the configuration from minConfig to maxConfig, or an empty string if it does.
+func (g *Gateway) RefuseRelayed(minConfig, maxConfig int64) string {
+	cfg := g.Routes()
+	switch {
+	case g.PathLost():
+		return "the host reaches no target either"
+	case cfg == nil:
+		return "the host has no configuration"
+	case cfg.Version < minConfig || cfg.Version > maxConfig:
+		return fmt.Sprintf("the host has configuration %d, want %d to %d", cfg.Version, minConfig, maxConfig)
+	}
+	return ""
+}
+
 // avoidHost relays no requests to a host for some time.
 func (g *Gateway) avoidHost(name string) {
 	now := g.Clock.Now()
