--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -62,8 +62,8 @@
 		serveFor(t, f, 5*time.Second)
 		other.MergeLimits(f.PeerReport().Limits)
 		for name, host := range map[string]*fixture{"own answer": f, "peer": other} {
-			if calls := serveFor(t, host, 10*time.Second); calls["d1"] < 50 {
-				t.Errorf("%s: calls in 10 s after the limit was lifted: %v, want a third to d1", name, calls)
+			if calls := serveFor(t, host, time.Minute); calls["d1"] < 300 {
+				t.Errorf("%s: calls in a minute after the limit was lifted: %v, want a third to d1, and a quarter at least", name, calls)
 			}
 		}
 	})
