--- a/review/_standin/host.go
+++ b/review/_standin/host.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -222,6 +223,13 @@
 	return false
 }
 
+// signal sends a signal to the process.
+func (h *host) signal(s syscall.Signal) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process.Signal(s)
+}
+
 // stop ends the process for good.
 func (h *host) stop() {
 	h.mu.Lock()
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -88,6 +88,7 @@
 	"memory": playMemory,
 	"wall":   playWall,
 	"path":   playPath,
+	"cut":    playCut,
 }
 
 func main() {
--- a/review/_standin/runner.go
+++ b/review/_standin/runner.go
@@ -77,6 +77,9 @@
 	cache  *cache
 	others map[string]*runner
 
+	// pauseFor is the time for which a stream is preempted after its third event, 0 for none. While it
+	// is set, requests that resume a stream find no room and are rejected after rejectAfter.
+	pauseFor, rejectAfter time.Duration
 	// endless is the rate in bytes per second of the body without end with which the runner answers
 	// calls for cache events, 0 if it is sound.
 	endless int
@@ -193,6 +196,16 @@
 	_, _ = fmt.Fprintf(w, `{"epoch":1,"next":1,"lost":false,"clock_ms":%d,"born":%d,"events":[]}`, r.store.nowMillis(), r.born)
 }
 
+// preemptedAt is the number of events after which a stream is preempted.
+const preemptedAt = 3
+
+// setFull makes the runner preempt streams for some time, and reject requests that resume one.
+func (r *runner) setFull(pauseFor, rejectAfter time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pauseFor, r.rejectAfter = pauseFor, rejectAfter
+}
+
 // serve runs a request.
 func (r *runner) serve(w http.ResponseWriter, q *http.Request) {
 	_, _ = io.Copy(io.Discard, q.Body)
@@ -203,6 +216,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.mu.Lock()
+	pauseFor, rejectAfter := r.pauseFor, r.rejectAfter
+	r.mu.Unlock()
+	if pauseFor > 0 && q.Header.Get("Last-Event-Id") != "" {
+		if r.wait(q, rejectAfter) {
+			w.Header().Set("X-Request-Id", id)
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
 	running := r.journal.begin(q, r.id)
 	complete := false
 	defer func() { r.journal.end(running, complete) }()
@@ -223,7 +247,11 @@
 	w.Header().Set("X-Weight-Versions", "1")
 	control := http.NewResponseController(w)
 	for i := range r.events {
-		if i > 0 && !r.wait(q, r.pause) {
+		pause := r.pause
+		if i == preemptedAt && pauseFor > 0 {
+			pause = pauseFor
+		}
+		if i > 0 && !r.wait(q, pause) {
 			return
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: token token token\n\n", i+1); err != nil || control.Flush() != nil {
