--- a/internal/gateway/cacherelay.go
+++ b/internal/gateway/cacherelay.go
@@ -84,10 +84,19 @@
 			l.first = events.Events[0].Number - 1
 		}
 	}
-	l.epoch, l.since, l.clock, l.answeredAt = events.Epoch, events.Next, events.Clock, answeredAt
+	next := events.Next
+	if l.behind(events) {
+		next = l.since
+	}
+	l.epoch, l.since, l.clock, l.answeredAt = events.Epoch, next, events.Clock, answeredAt
 	return restarted, true
 }
 
+// behind reports whether an answer was truncated before the position.
+func (l *cacheLog) behind(events *CacheEvents) bool {
+	return events.Truncated && events.Epoch == l.epoch && events.Next < l.since
+}
+
 // keep holds events for peers.
 func (l *cacheLog) keep(events []CacheEvent) {
 	l.events = append(l.events, events...)
@@ -155,19 +164,19 @@
 	return 0
 }
 
-// hold holds the known events of a first answer for peers, if the poll began before them.
-func (g *Gateway) hold(source string, events *CacheEvents) {
+// hold holds the known events of an answer for peers, if the poll after since began before them.
+func (g *Gateway) hold(source string, since int64, events *CacheEvents) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.cacheLog(source)
-	if !l.rewound {
+	if !l.rewound || l.behind(events) {
 		return
 	}
 	l.rewound, l.began = false, 0
 	if events.Epoch != l.epoch || events.Next < l.since || len(events.Events) == 0 {
 		return
 	}
-	first := int64(0)
+	first := since
 	if events.Gap {
 		first = events.Events[0].Number - 1
 	}
--- a/internal/gateway/cacherelay_test.go
+++ b/internal/gateway/cacherelay_test.go
@@ -268,7 +268,7 @@
 	for n := int64(5); n <= 10; n++ {
 		answer.Events = append(answer.Events, event(n))
 	}
-	g.hold("e", &answer)
+	g.hold("e", 0, &answer)
 	g.applyEvents("e", answer, at)
 	for since, want := range map[int64]peer.CacheUpdate{
 		3: {Gap: true, Events: []CacheEvent{event(5), event(6), event(7), event(8), event(9), event(10)}},
--- a/internal/gateway/cachetakeover_test.go
+++ b/internal/gateway/cachetakeover_test.go
@@ -85,7 +85,7 @@
 		return answer
 	}
 	answer := func(events CacheEvents) {
-		g.hold("e", &events)
+		g.hold("e", events.Events[0].Number-1, &events)
 		g.applyEvents("e", events, c.Now())
 	}
 	// after returns the numbers of the events that a host gets which knows those up to since.
--- a/internal/gateway/cachewatch.go
+++ b/internal/gateway/cachewatch.go
@@ -70,6 +70,8 @@
 	// Gap reports whether events are missing.
 	Gap    bool
 	Events []CacheEvent
+	// Truncated reports whether the answer had further events, after Next.
+	Truncated bool
 	// Notice is what the answer says about the target or store itself.
 	Notice Notice
 	// DecodeErr is the error for an event that could not be decoded, or nil. Such
@@ -152,6 +154,7 @@
 func (g *Gateway) watchCache(ctx context.Context, caller CacheEventCaller, id string) {
 	since := g.startPolling(id)
 	defer g.stopPolling(id)
+	failing := false
 	for ctx.Err() == nil {
 		t, ok := g.Fleet.Find(id)
 		if !ok {
@@ -170,10 +173,15 @@
 			pause = pollRetryPause
 		} else {
 			g.logDecodeErr(id, events.DecodeErr)
+			g.hold(id, since, &events)
 			since = events.Next
-			g.hold(id, &events)
 			g.applyEvents(id, events, g.Steady.Now())
 		}
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = err != nil
+			g.Log.Info().Str("part", "cache").Str("source", id).Str("address", t.Address).Bool("failing", failing).Int64("since", since).
+				Err(err).Msg("cache: calls for events of the target fail or succeed again")
+		}
 		_ = clock.Sleep(ctx, g.Clock, pause) // The loop checks ctx.
 	}
 }
--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -173,8 +173,8 @@
 		events, err := caller.CacheEvents(ctx, s.spec.Address, since, wait)
 		if err == nil {
 			g.logDecodeErr(name, events.DecodeErr)
+			g.hold(name, since, &events)
 			since = events.Next
-			g.hold(name, &events)
 			g.applyEvents(name, events, g.Steady.Now())
 		} else if ctx.Err() == nil {
 			pause = pollRetryPause
