Limit the bytes of all answers that a host holds at the same time

Cause: the body of an answer was read by io.ReadAll behind a limit of 16 MiB for each answer, an event of a stream behind 1 MiB. Nothing limited the sum.

Why it works: answers and events above 16 KiB take their bytes from a budget of a fifth of the memory while they are held. What doesn't fit is passed on while it is read, so that no sound answer is lost and short ones never wait. Chunks are not copied.

--- a/commands/route.go
+++ b/commands/route.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 	"github.com/urfave/cli/v3"
 
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/logbuffer"
 	"sassafrasplank.example/sassafrasplank/internal/config"
@@ -28,6 +29,10 @@
 // bytes of sockets.
 const memoryLimitShare = 0.7
 
+// answersMemoryShare is the share of a host's memory that the answers of targets may take while they
+// are held. Those that don't fit are passed on while they are read.
+const answersMemoryShare = 0.2
+
 // gcPercent is by how many percent the memory of the Go runtime may grow between two garbage
 // collections. Hosts use a small part of their memory, so fewer collections save processor
 // time; near the memory limit they run as often as necessary.
@@ -64,13 +69,18 @@
 // newRoutedHost returns an entry host that uses the adapter of the users' platform.
 func newRoutedHost(cfg config.Routed, logger *log.Logger) *entry.RoutedHost {
 	client := &platform.TargetClient{}
+	budgets := map[string]*bounded.Budget{}
+	if cfg.MemoryBytes > 0 {
+		client.Room = &bounded.Budget{Limit: int64(float64(cfg.MemoryBytes) * answersMemoryShare)}
+		budgets["answers"] = client.Room
+	}
 	client.Init()
 	return &entry.RoutedHost{
 		Config: cfg, Clock: clock.System{}, Steady: clock.Boot{}, Log: logger,
 		Codec: platform.Codec{}, Transport: platform.NewTransport(), Translator: platform.Translator{},
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
 		Targets: client, Orders: client, CacheEvents: client, Freer: client,
-		HostCaller: client, RelayPrefix: platform.RelayPrefix,
+		HostCaller: client, RelayPrefix: platform.RelayPrefix, Budgets: budgets,
 		Handlers: func(g *gateway.Gateway, stopping func() bool) (callers, relayed http.Handler) {
 			in := &platform.Ingress{Gateway: g, Clock: clock.System{}, Log: logger, Stopping: stopping}
 			return in.NewHandlers(client)
--- /dev/null
+++ b/internal/common/bounded/budget_test.go
@@ -0,0 +1,70 @@
+package bounded_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
+)
+
+func TestBuffersTogetherKeepToBudget(t *testing.T) {
+	budget := &bounded.Budget{Limit: 256 << 10}
+	body := strings.Repeat("x", 150<<10)
+	var buffers []*bounded.Buffer
+	var got []error
+	for range 3 {
+		b := &bounded.Buffer{Hold: bounded.Hold{Budget: budget}}
+		got = append(got, b.Fill(strings.NewReader(body), 1<<20))
+		buffers = append(buffers, b)
+	}
+	short := &bounded.Buffer{Hold: bounded.Hold{Budget: budget}}
+	got = append(got, short.Fill(strings.NewReader("short"), 1<<20))
+	if diff := cmp.Diff([]bool{true, false, false, true}, []bool{got[0] == nil, got[1] == nil, got[2] == nil, got[3] == nil}); diff != "" {
+		t.Errorf("bodies that fit (-want +got):\n%s", diff)
+	}
+	if !errors.Is(got[1], bounded.ErrNoRoom) || budget.Taken() > budget.Limit {
+		t.Errorf("got %v with %d bytes taken, want %v and at most %d", got[1], budget.Taken(), bounded.ErrNoRoom, budget.Limit)
+	}
+	for _, b := range append(buffers, short) {
+		b.Release()
+	}
+	if budget.Taken() != 0 {
+		t.Errorf("%d bytes are taken after all were released, want 0", budget.Taken())
+	}
+}
+
+func TestBufferFill(t *testing.T) {
+	reset := errors.New("reset")
+	for name, test := range map[string]struct {
+		r    io.Reader
+		len  int64
+		want error
+	}{
+		"empty":             {strings.NewReader(""), 0, nil},
+		"byte by byte":      {iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 70_000))), 70_000, nil},
+		"data with the end": {iotest.DataErrReader(strings.NewReader("x")), 1, nil},
+		"of the limit":      {strings.NewReader(strings.Repeat("x", 100_000)), 100_000, nil},
+		"too long":          {strings.NewReader(strings.Repeat("x", 100_001)), 100_001, bounded.ErrTooLong},
+		"cut":               {io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), 1, io.ErrUnexpectedEOF},
+		"reset":             {io.MultiReader(strings.NewReader("x"), iotest.ErrReader(reset)), 1, reset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &bounded.Buffer{}
+			if err := b.Fill(test.r, 100_000); !errors.Is(err, test.want) {
+				t.Errorf("got error %v, want %v", err, test.want)
+			}
+			n := int64(0)
+			for _, chunk := range b.Chunks {
+				n += int64(len(chunk))
+			}
+			if diff := cmp.Diff([]int64{test.len, test.len}, []int64{b.Len, n}); diff != "" {
+				t.Errorf("length, and that of the chunks (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"sassafrasplank.example/sassafrasplank/internal/caller"
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/version"
 	"sassafrasplank.example/sassafrasplank/internal/config"
@@ -84,6 +85,8 @@
 	// whose paths begin with RelayPrefix. stopping reports whether the host is shutting down.
 	Handlers    func(g *gateway.Gateway, stopping func() bool) (callers, relayed http.Handler)
 	RelayPrefix string
+	// Budgets are the budgets of memory by what they hold, for the metrics.
+	Budgets map[string]*bounded.Budget
 
 	metrics      metrics.Registry
 	table        *platform.Client
@@ -138,6 +141,9 @@
 	incarnation := h.Clock.Now().UnixNano()
 	h.metrics = metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge("process.cpuMicros", h.metrics, processorMicros)
+	for name, budget := range h.Budgets {
+		metrics.NewRegisteredFunctionalGauge("memory."+name+"Bytes", h.metrics, budget.Taken)
+	}
 	h.table = &platform.Client{
 		HTTP: &http.Client{Transport: h.Transport}, Codec: h.Codec, TableURL: cfg.Table.URL,
 		Timeout: cfg.Table.CallTimeout.Duration,
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 )
 
 // maxEventBytes is the maximum size of an event. A larger event is an error.
@@ -35,11 +37,18 @@
 
 // Reader splits a stream into events.
 type Reader struct {
-	r *bufio.Reader
+	r    *bufio.Reader
+	hold bounded.Hold
+}
+
+// NewReader returns a reader of the events in r. Their bytes are taken from the budget of hold until
+// the next event is read.
+func NewReader(r io.Reader, hold bounded.Hold) *Reader {
+	return &Reader{r: bufio.NewReader(r), hold: hold}
 }
 
-// NewReader returns a Reader that reads from r.
-func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReader(r)} }
+// Close gives back what the last event has taken.
+func (s *Reader) Close() { s.hold.Release() }
 
 // Next returns the next complete event. Blank lines before it are dropped. Next
 // returns io.EOF if the stream ends between two events, ErrTruncated if it ends
@@ -47,6 +56,7 @@
 // underlying reader, and an error if an ID is not a number or an event is too long.
 // The caller may keep and modify the bytes of the event.
 func (s *Reader) Next() (Event, error) {
+	s.hold.Release()
 	event := Event{ID: NoID}
 	continued := false
 	blank := 0
@@ -54,6 +64,9 @@
 		line, err := s.r.ReadSlice('\n')
 		lineStart := !continued
 		continued = errors.Is(err, bufio.ErrBufferFull)
+		if !s.hold.Extend(int64(len(event.Raw) + len(line))) {
+			return Event{}, fmt.Errorf("event of more than %d bytes: %w", len(event.Raw), bounded.ErrNoRoom)
+		}
 		event.Raw = append(event.Raw, line...)
 		if err != nil && !continued {
 			return Event{}, endError(event.Raw, err)
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -8,11 +8,12 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 	"sassafrasplank.example/sassafrasplank/internal/eventstream"
 )
 
 func read(text string) (events []eventstream.Event, last error) {
-	r := eventstream.NewReader(strings.NewReader(text))
+	r := eventstream.NewReader(strings.NewReader(text), bounded.Hold{})
 	for {
 		event, err := r.Next()
 		if err != nil {
--- a/internal/gateway/alternative.go
+++ b/internal/gateway/alternative.go
@@ -12,6 +12,7 @@
 
 	"github.com/phuslu/log"
 
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 	"sassafrasplank.example/sassafrasplank/internal/eventstream"
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/retry"
@@ -342,20 +343,20 @@
 		}
 		return b, nil
 	}
-	if b.body, b.err = reply.Body(); b.err != nil {
+	if b.body, b.err = reply.Body(); b.err != nil && !errors.Is(b.err, bounded.ErrNoRoom) {
 		reply.Close()
 		return nil, b.err
 	}
 	return b, nil
 }
 
-// begunReply is a reply whose first event or whole body has been read.
+// begunReply is a reply whose first event, or whose body as far as there was room, has been read.
 type begunReply struct {
 	Reply
 
 	first    eventstream.Event
 	hasFirst bool
-	body     []byte
+	body     [][]byte
 	err      error
 }
 
@@ -368,8 +369,8 @@
 	return r.Reply.Next()
 }
 
-// Body returns the complete body.
-func (r *begunReply) Body() ([]byte, error) { return r.body, r.err }
+// Body returns the body as far as it has been read.
+func (r *begunReply) Body() ([][]byte, error) { return r.body, r.err }
 
 // settle ends an attempt that is not used, and counts it. The lock must be held.
 func (a *alternative) settle(s *sending) {
--- a/internal/gateway/alternative_test.go
+++ b/internal/gateway/alternative_test.go
@@ -133,7 +133,7 @@
 // slowSink is a caller that takes bytes slowly.
 type slowSink struct{ fakeSink }
 
-func (s *slowSink) Answer(head work.Head, body []byte) error {
+func (s *slowSink) Answer(head work.Head, body [][]byte) error {
 	time.Sleep(1500 * time.Millisecond)
 	return s.fakeSink.Answer(head, body)
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -12,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
 	"sassafrasplank.example/sassafrasplank/internal/config"
@@ -64,6 +67,11 @@
 	ctx    context.Context
 	status int
 	body   string
+	// unheld is set if there is no room to hold more than the body. Then follow rest and restErr, or
+	// the end if that is nil.
+	unheld  bool
+	rest    string
+	restErr error
 	// events are sent in order, then last is returned.
 	events []eventstream.Event
 	last   error
@@ -97,7 +105,7 @@
 	return event, nil
 }
 
-func (r *fakeReply) Body() ([]byte, error) {
+func (r *fakeReply) Body() ([][]byte, error) {
 	if r.hang {
 		<-r.ctx.Done()
 		return nil, &gateway.BrokenError{Sent: true, Err: r.ctx.Err()}
@@ -105,7 +113,19 @@
 	if r.last != nil {
 		return nil, r.last
 	}
-	return []byte(r.body), nil
+	if r.unheld {
+		return [][]byte{[]byte(r.body)}, bounded.ErrNoRoom
+	}
+	return [][]byte{[]byte(r.body)}, nil
+}
+
+func (r *fakeReply) ReadRest(p []byte) (int, error) {
+	if r.rest == "" {
+		return 0, cmp.Or(r.restErr, io.EOF)
+	}
+	n := copy(p, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
 }
 
 func (r *fakeReply) Close() {}
@@ -177,8 +197,8 @@
 	aborted bool
 }
 
-func (s *fakeSink) Answer(head work.Head, body []byte) error {
-	s.status, s.body = head.Status, string(body)
+func (s *fakeSink) Answer(head work.Head, body [][]byte) error {
+	s.status, s.body = head.Status, string(bytes.Join(body, nil))
 	return nil
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 	"sassafrasplank.example/sassafrasplank/internal/eventstream"
 	"sassafrasplank.example/sassafrasplank/internal/ledger"
 )
@@ -15,7 +16,8 @@
 	wd.reset()
 	body, err := reply.Body()
 	wd.stop()
-	if err != nil {
+	long := errors.Is(err, bounded.ErrNoRoom)
+	if err != nil && !long {
 		return err
 	}
 	head := reply.Head()
@@ -27,11 +29,52 @@
 	}
 	r.g.recordFirstToken(at)
 	at.failed = head.Status >= http.StatusInternalServerError
+	if long {
+		return r.relayUnheld(at, reply, body)
+	}
 	r.recordDone(at, head.Status)
 	r.callerGone(r.sink.Answer(head, body))
 	return nil
 }
 
+// relayUnheld passes an answer on while it is read, from its beginning, since the host has no room to
+// hold it. From then on the request can't be sent again.
+func (r *run) relayUnheld(at *attempt, reply Reply, beginning [][]byte) error {
+	r.g.count("answers.unheld")
+	r.g.Log.Warn().Str("part", "request").Str("requestId", r.work.ID).Str("target", at.target.ID).Str("address", at.target.Address).
+		Int("status", reply.Head().Status).Msg("request: no room to hold the answer, it is passed on while it is read")
+	if s := r.alternative.end(); s != nil {
+		r.alternative.abandon(s)
+	}
+	r.begun, r.unnumbered = true, true
+	head := reply.Head()
+	if r.callerGone(r.sink.Begin(head)) {
+		return nil
+	}
+	for _, chunk := range beginning {
+		if r.callerGone(r.sink.Event(chunk)) {
+			return nil
+		}
+	}
+	buffer := make([]byte, unheldBytes)
+	for {
+		n, err := reply.ReadRest(buffer)
+		if n > 0 && r.callerGone(r.sink.Event(buffer[:n])) {
+			return nil
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			r.recordDone(at, head.Status)
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// unheldBytes is the size of the pieces in which an answer is passed on that isn't held.
+const unheldBytes = 16 << 10
+
 // relayStream relays the events of a stream, each as soon as it is complete. It
 // drops the events that a resumed stream repeats.
 func (r *run) relayStream(at *attempt, reply Reply, wd *watchdog) error {
--- a/internal/gateway/sending_test.go
+++ b/internal/gateway/sending_test.go
@@ -104,8 +104,8 @@
 	status int
 }
 
-func (r answeringReply) Head() work.Head       { return work.Head{Status: r.status} }
-func (r answeringReply) Body() ([]byte, error) { return []byte("the target's answer"), nil }
+func (r answeringReply) Head() work.Head         { return work.Head{Status: r.status} }
+func (r answeringReply) Body() ([][]byte, error) { return [][]byte{[]byte("the target's answer")}, nil }
 
 // answeredSink records the status of an answer.
 type answeredSink struct {
@@ -114,7 +114,7 @@
 	status int
 }
 
-func (s *answeredSink) Answer(head work.Head, _ []byte) error {
+func (s *answeredSink) Answer(head work.Head, _ [][]byte) error {
 	s.status = head.Status
 	return nil
 }
--- a/internal/gateway/target.go
+++ b/internal/gateway/target.go
@@ -69,8 +69,11 @@
 	// Framed reports whether the answer has an end of its own. Otherwise it ends with its
 	// connection, so that an answer which was broken off may seem complete.
 	Framed() bool
-	// Body returns the complete body, or an error if it is incomplete.
-	Body() ([]byte, error)
+	// Body returns the complete body in chunks, or an error if it is incomplete. With
+	// bounded.ErrNoRoom it returns the beginning, and ReadRest reads the rest.
+	Body() ([][]byte, error)
+	// ReadRest reads like io.Reader.
+	ReadRest(p []byte) (int, error)
 	// Close cancels the call if it is still running.
 	Close()
 }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -71,11 +71,11 @@
 // alone if the caller disconnects before any other call. After an error of Answer,
 // Begin or Event, no further method is called.
 type Sink interface {
-	// Answer sends a complete answer to the caller.
-	Answer(head Head, body []byte) error
-	// Begin sends the head of a stream to the caller.
+	// Answer sends a complete answer, whose body is given in chunks, to the caller.
+	Answer(head Head, body [][]byte) error
+	// Begin sends the head of a stream to the caller, or of an answer that is too long to be held.
 	Begin(head Head) error
-	// Event sends one complete event to the caller immediately.
+	// Event sends one complete event, or the next bytes of an answer, to the caller immediately.
 	Event(raw []byte) error
 	// Refuse sends a failure of this system, as opposed to an answer of a target.
 	Refuse(err *failure.Error)
