Name the shared cache after the accounts that are isolated

What callers saw: nothing.

Cause: accounts that aren't isolated used the cache namespace shared/MODEL@VERSION under every configuration, so that what an account had cached there was used after it became isolated. A request that waited or was sent again kept what was true when it was received.

Ruled out: a configuration that wasn't in force, since the case checks a route of the same version on each host.

Why it works: the shared name holds a hash of the isolated accounts, by the configuration in force when a request is placed. An account that is isolated now was isolated whenever this name was in use, and has never written there. No host has to know of earlier configurations. With no account isolated the name stays.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -270,7 +270,7 @@
 		}
 		if c != nil && h.setRoutes(c) {
 			h.Log.Info().Str("part", "config").Int64("version", c.Version).Int64("rowVersion", row.Version).
-				Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Msg("config: in force")
+				Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Str("sharedCache", c.Cache("")).Msg("config: in force")
 		}
 		model, version, err := h.Translator.Version(row)
 		if err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,14 +98,10 @@
 // end of the prompt, where 1 is the last part.
 const sharedPartFromEnd = 2
 
-// cacheNamespace returns the cache namespace of a request: one for each version
-// of the weights and, if the client account is isolated, for each account.
-func cacheNamespace(w *work.Work, version string) string {
-	version = url.PathEscape(version)
-	if w.Isolated {
-		return "account/" + w.Account + "/" + version
-	}
-	return "shared/" + version
+// cacheNamespace returns the cache namespace of the requests of a client account: one for each
+// cache that the configuration knows and each version of the weights.
+func cacheNamespace(cfg *routing.Config, account, version string) string {
+	return cfg.Cache(account) + "/" + url.PathEscape(version)
 }
 
 // partKey returns the cache key of a prompt part in a namespace. Hosts with many peers
@@ -246,7 +242,8 @@
 	req.Version = version
 	req.Chain, req.FetchSeconds = nil, nil
 	if len(w.Parts) > 0 {
-		at.namespace = cacheNamespace(w, version)
+		// The configuration may have changed since the request was received.
+		at.namespace = cacheNamespace(g.Routes(), w.Account, version)
 		at.chain = g.chainKeys(w, at)
 		at.sources = g.findSources(w, at.chain)
 		req.Chain = at.chain
--- a/internal/gateway/attempt_test.go
+++ b/internal/gateway/attempt_test.go
@@ -8,7 +8,6 @@
 
 	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/routing"
-	"sassafrasplank.example/sassafrasplank/internal/work"
 )
 
 // A refusal must state its cause and the values involved.
@@ -64,11 +63,12 @@
 // client account contain.
 func TestNamespaceVersion(t *testing.T) {
 	for _, model := range []string{"m", "org/m", "a@b/c", "50%"} {
-		for _, isolated := range []bool{false, true} {
-			w := &work.Work{Account: "x/y", Isolated: isolated}
-			got, version, ok := namespaceVersion(cacheNamespace(w, versionName(model, 7)))
+		for _, isolated := range []string{"none", "x/y", "z"} {
+			cfg := &routing.Config{Accounts: []routing.Account{{Name: "x/y", Isolated: isolated == "x/y"}, {Name: "z", Isolated: isolated == "z"}}}
+			cfg.Index()
+			got, version, ok := namespaceVersion(cacheNamespace(cfg, "x/y", versionName(model, 7)))
 			if got != model || version != 7 || !ok {
-				t.Errorf("model %q, isolated %t: got %q, version %d, %t", model, isolated, got, version, ok)
+				t.Errorf("model %q, isolated %s: got %q, version %d, %t", model, isolated, got, version, ok)
 			}
 		}
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -27,6 +27,7 @@
 		Str("origin", w.Origin).
 		Str("reason", string(at.decision.Reason)).
 		Str("source", string(chosen.Source)).
+		Str("namespace", at.namespace).
 		Strs("fetch", at.fetch).
 		Strs("save", at.save).
 		Int64("fetchEnd", at.fetchEnd).
--- a/internal/gateway/stores_test.go
+++ b/internal/gateway/stores_test.go
@@ -143,10 +143,12 @@
 // Isolated accounts must share no parts with others, and versions of the
 // weights none with each other.
 func TestCacheNamespaces(t *testing.T) {
+	cfg := &routing.Config{Accounts: []routing.Account{{Name: "a"}, {Name: "b"}, {Name: "c", Isolated: true}, {Name: "d", Isolated: true}}}
+	cfg.Index()
 	namespaces := []string{
-		cacheNamespace(&work.Work{Account: "a"}, "m@1"), cacheNamespace(&work.Work{Account: "b"}, "m@1"),
-		cacheNamespace(&work.Work{Account: "a", Isolated: true}, "m@1"), cacheNamespace(&work.Work{Account: "b", Isolated: true}, "m@1"),
-		cacheNamespace(&work.Work{Account: "a"}, "m@2"),
+		cacheNamespace(cfg, "a", "m@1"), cacheNamespace(cfg, "b", "m@1"),
+		cacheNamespace(cfg, "c", "m@1"), cacheNamespace(cfg, "d", "m@1"),
+		cacheNamespace(cfg, "a", "m@2"),
 	}
 	if namespaces[0] != namespaces[1] {
 		t.Errorf("accounts that aren't isolated have different namespaces: %q and %q", namespaces[0], namespaces[1])
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -205,6 +205,9 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Account
+	// sharing contains the accounts that aren't isolated, and sharedCache is their cache.
+	sharing     map[string]bool
+	sharedCache string
 }
 
 // Index prepares the lookups. It must be called once, before Match and Account.
@@ -224,6 +227,7 @@
 			c.byKey[key] = &c.Accounts[i]
 		}
 	}
+	c.indexCaches()
 }
 
 // Match returns the route of a host with the longest matching path prefix, or nil.
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -22,10 +22,8 @@
 	// ID.
 	ID      string
 	Account string
-	// Isolated is true if no cache may be shared with other client accounts.
-	Isolated bool
-	Route    *routing.Route
-	Service  string
+	Route   *routing.Route
+	Service string
 	// ConfigVersion is the version of the configuration that chose Route.
 	ConfigVersion int64
 	// Priority is 0 for the most urgent requests.
