Answer the requests that outlast a planned stop of serve

On serve each request that still ran at the end of stopWithin lost its connection, bookings among them.

Cause: Host.stop waited for running requests until stopWithin and then closed all connections. Nothing ended the requests before, as on route.

A booking answers its caller at the end of its request while its outcome is recorded.

--- a/internal/booking/executor.go
+++ b/internal/booking/executor.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -59,11 +58,11 @@
 	// IsOwner reports whether this host owns a name.
 	IsOwner func(name string) bool
 
-	pendingSettles sync.WaitGroup
+	pendingSettles wait.Tasks
 }
 
 // Drain waits until all outcomes are recorded or ctx ends.
-func (e *Executor) Drain(ctx context.Context) error { return wait.Group(ctx, &e.pendingSettles) }
+func (e *Executor) Drain(ctx context.Context) error { return e.pendingSettles.Wait(ctx) }
 
 // Request identifies a booking. Account, Service and Key determine its record.
 type Request struct {
@@ -94,8 +93,16 @@
 	claimedAt time.Time
 }
 
+// outcome is the answer to a call, its error, or the value with which it panicked.
+type outcome struct {
+	answer   target.ServiceAnswer
+	err      error
+	panicked any
+}
+
 // Book runs the call at most once for the request's key and returns its
-// recorded outcome to every caller with that key. Errors are *failure.Error.
+// recorded outcome to every caller with that key. If ctx ends first, the outcome is
+// still recorded. Errors are *failure.Error.
 func (e *Executor) Book(ctx context.Context, r *Request, call CallFunc) (target.ServiceAnswer, error) {
 	claimed, existing, err := e.claim(ctx, r)
 	if err != nil {
@@ -104,17 +111,36 @@
 	if claimed == nil {
 		return e.follow(ctx, r, existing)
 	}
+	settled := make(chan outcome, 1)
+	go func() { settled <- e.run(context.WithoutCancel(ctx), claimed, call) }()
+	select {
+	case o := <-settled:
+		if o.panicked != nil {
+			panic(o.panicked) // The server of the caller handles it.
+		}
+		return o.answer, o.err
+	case <-ctx.Done():
+		e.pendingSettles.Go(func() {
+			if o := <-settled; o.panicked != nil {
+				e.Log.Error().Str("part", "booking").Str("key", claimed.key).Any("panic", o.panicked).
+					Msg("booking: the call panicked after its caller was answered; the record stays started until it expires")
+			}
+		})
+		return target.ServiceAnswer{}, failure.MaybeRun(failure.MayHaveRun, "the outcome of the booking is not known yet: %v", ctx.Err())
+	}
+}
+
+// run makes the call and records its outcome.
+func (e *Executor) run(ctx context.Context, claimed *claim, call CallFunc) (o outcome) {
+	defer func() { o.panicked = recover() }()
 	// A suspended host may resume long after its claim.
 	if e.Clock.Now().Sub(claimed.claimedAt) > sendTimeout {
-		err = failure.Busy(failure.BookingsDown, time.Second, "the booking was not sent in time after it was recorded")
-	}
-	var answer target.ServiceAnswer
-	if err == nil {
-		// The outcome is recorded even if the caller has disconnected.
-		answer, err = call(context.WithoutCancel(ctx))
+		o.err = failure.Busy(failure.BookingsDown, time.Second, "the booking was not sent in time after it was recorded")
+	} else {
+		o.answer, o.err = call(ctx)
 	}
-	e.settle(claimed, answer, err)
-	return answer, err
+	e.settle(claimed, o.answer, o.err)
+	return o
 }
 
 // claim inserts or takes over the record of the key before the call. If the record
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -46,6 +46,8 @@
 	// Stopping reports whether the host is shutting down. Callers are then asked to
 	// close their connections.
 	Stopping func() bool
+	// Ended ends when the requests that still run have to be answered. It may be nil.
+	Ended context.Context
 }
 
 const (
@@ -60,7 +62,7 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = s.handleError
-	e.Use(s.closeWhenStopping)
+	e.Use(s.closeWhenStopping, s.endWithHost)
 	authorized := e.Group("", s.authorize)
 	authorized.POST("/v1/chat/completions", s.chat)
 	authorized.POST("/v1/completions", s.complete)
@@ -84,6 +86,20 @@
 	}
 }
 
+// endWithHost ends the context of a request when the host ends, so that its caller is answered.
+func (s *Server) endWithHost(next echo.HandlerFunc) echo.HandlerFunc {
+	if s.Ended == nil {
+		return next
+	}
+	return func(c echo.Context) error {
+		ctx, cancel := context.WithCancel(c.Request().Context())
+		defer cancel()
+		defer context.AfterFunc(s.Ended, cancel)()
+		c.SetRequest(c.Request().WithContext(ctx))
+		return next(c)
+	}
+}
+
 // authorize determines the client account from the caller's key.
 func (s *Server) authorize(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -68,6 +68,9 @@
 	dispatcher   *dispatch.Dispatcher
 	metrics      metrics.Registry
 	stopping     atomic.Bool
+	// ended ends when the requests that still run have to be answered, and end ends it.
+	ended context.Context
+	end   context.CancelFunc
 }
 
 // Run serves until stop ends, then shuts down gracefully: running requests are
@@ -78,6 +81,8 @@
 		return err
 	}
 	h.build(sockets[2].Addr())
+	h.ended, h.end = context.WithCancel(context.Background())
+	defer h.end()
 	listeners := h.listeners(sockets)
 	taskCtx, cancelTasks := context.WithCancel(context.Background())
 	defer cancelTasks()
@@ -117,15 +122,19 @@
 }
 
 // stop shuts the host down in this order: it reports not ready, waits for
-// ShutdownDelay, refuses new requests, waits for running ones and for the outcomes of
-// booked calls, writes the counted placements to the ledger, leaves the group of peers,
-// closes the listeners and writes the copies of batches of hosts that have gone.
+// ShutdownDelay, refuses new requests, waits for running ones, ends those that take too long,
+// waits for the outcomes of booked calls, writes the counted placements to the ledger, leaves
+// the group of peers, closes the listeners and writes the copies of batches of hosts that have gone.
 func (h *Host) stop(force context.Context, listeners []*listener) {
 	h.Log.Info().Str("part", "entry").Msg("entry: graceful shutdown started")
 	h.stopping.Store(true)
-	ctx, cancel := context.WithTimeout(force, h.Config.ShutdownTimeout.Duration)
+	delay, timeout := h.Config.ShutdownDelay.Duration, h.Config.ShutdownTimeout.Duration
+	ctx, cancel := context.WithTimeout(force, timeout)
 	defer cancel()
-	_ = clock.Sleep(ctx, h.Clock, h.Config.ShutdownDelay.Duration) // The steps below observe ctx.
+	_ = clock.Sleep(ctx, h.Clock, delay) // The steps below observe ctx.
+	endCtx, cancelEnd := context.WithTimeout(ctx, timeout-delay-endMarginOf(timeout-delay))
+	defer cancelEnd()
+	defer context.AfterFunc(endCtx, h.end)()
 	if err := h.dispatcher.Stop(ctx); err != nil {
 		h.Log.Warn().Str("part", "entry").Err(err).Msg("entry: requests were still running when the graceful shutdown timed out or was forced")
 	}
@@ -256,7 +265,7 @@
 func (h *Host) handlers() []http.Handler {
 	callers := &caller.Server{
 		Config: h.Config.Callers, Clock: h.Clock, Records: h.follower, Dispatcher: h.dispatcher,
-		Bookings: h.bookings, Stopping: h.stopping.Load,
+		Bookings: h.bookings, Stopping: h.stopping.Load, Ended: h.ended,
 	}
 	operators := &operator.Server{
 		Config: h.Config.Operators, Records: h.follower,
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -408,6 +408,9 @@
 	endMarginDivisor = 4
 )
 
+// endMarginOf returns the margin for requests that have the given time to end.
+func endMarginOf(left time.Duration) time.Duration { return min(endMargin, left/endMarginDivisor) }
+
 // stop shuts the host down in this order: it reports not ready, waits for the
 // shutdown delay, refuses new requests, closes the listeners, waits for running requests
 // and ends those that take too long, leaves the group of peers and writes the ledger and the
@@ -421,7 +424,7 @@
 	_ = clock.Sleep(ctx, h.Clock, delay) // The loop below observes ctx.
 	h.gateway.Stop()
 	left := timeout - delay
-	endCtx, cancelEnd := context.WithTimeout(ctx, left-min(endMargin, left/endMarginDivisor))
+	endCtx, cancelEnd := context.WithTimeout(ctx, left-endMarginOf(left))
 	defer cancelEnd()
 	context.AfterFunc(endCtx, h.gateway.End)
 	// A peer that doesn't answer must not take the time of the last write.
