Limit the bytes of all request bodies that a host holds at the same time

Cause: each body was read by io.ReadAll up to max_body_bytes; nothing limited the sum, and it copies while it grows.

Why it works: bodies above 16 KiB take their bytes from a budget of three tenths of the memory, a stated length before it is read. What doesn't fit is refused at once, not run, with 503 and Retry-After. Requests without a body or with a short one need no budget.

--- a/commands/route.go
+++ b/commands/route.go
@@ -33,6 +33,10 @@
 // are held. Those that don't fit are passed on while they are read.
 const answersMemoryShare = 0.2
 
+// bodiesMemoryShare is the share that the bodies of requests may take. Requests whose bodies don't fit
+// are refused.
+const bodiesMemoryShare = 0.3
+
 // gcPercent is by how many percent the memory of the Go runtime may grow between two garbage
 // collections. Hosts use a small part of their memory, so fewer collections save processor
 // time; near the memory limit they run as often as necessary.
@@ -73,6 +77,7 @@
 	if cfg.MemoryBytes > 0 {
 		client.Room = &bounded.Budget{Limit: int64(float64(cfg.MemoryBytes) * answersMemoryShare)}
 		budgets["answers"] = client.Room
+		budgets["bodies"] = &bounded.Budget{Limit: int64(float64(cfg.MemoryBytes) * bodiesMemoryShare)}
 	}
 	client.Init()
 	return &entry.RoutedHost{
@@ -82,7 +87,7 @@
 		Targets: client, Orders: client, CacheEvents: client, Freer: client,
 		HostCaller: client, RelayPrefix: platform.RelayPrefix, Budgets: budgets,
 		Handlers: func(g *gateway.Gateway, stopping func() bool) (callers, relayed http.Handler) {
-			in := &platform.Ingress{Gateway: g, Clock: clock.System{}, Log: logger, Stopping: stopping}
+			in := &platform.Ingress{Gateway: g, Clock: clock.System{}, Log: logger, Stopping: stopping, Room: budgets["bodies"]}
 			return in.NewHandlers(client)
 		},
 	}
--- a/internal/common/bounded/budget_test.go
+++ b/internal/common/bounded/budget_test.go
@@ -19,11 +19,11 @@
 	var got []error
 	for range 3 {
 		b := &bounded.Buffer{Hold: bounded.Hold{Budget: budget}}
-		got = append(got, b.Fill(strings.NewReader(body), 1<<20))
+		got = append(got, b.Fill(strings.NewReader(body), 0, 1<<20))
 		buffers = append(buffers, b)
 	}
 	short := &bounded.Buffer{Hold: bounded.Hold{Budget: budget}}
-	got = append(got, short.Fill(strings.NewReader("short"), 1<<20))
+	got = append(got, short.Fill(strings.NewReader("short"), 5, 1<<20))
 	if diff := cmp.Diff([]bool{true, false, false, true}, []bool{got[0] == nil, got[1] == nil, got[2] == nil, got[3] == nil}); diff != "" {
 		t.Errorf("bodies that fit (-want +got):\n%s", diff)
 	}
@@ -41,21 +41,21 @@
 func TestBufferFill(t *testing.T) {
 	reset := errors.New("reset")
 	for name, test := range map[string]struct {
-		r    io.Reader
-		len  int64
-		want error
+		r             io.Reader
+		expected, len int64
+		want          error
 	}{
-		"empty":             {strings.NewReader(""), 0, nil},
-		"byte by byte":      {iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 70_000))), 70_000, nil},
-		"data with the end": {iotest.DataErrReader(strings.NewReader("x")), 1, nil},
-		"of the limit":      {strings.NewReader(strings.Repeat("x", 100_000)), 100_000, nil},
-		"too long":          {strings.NewReader(strings.Repeat("x", 100_001)), 100_001, bounded.ErrTooLong},
-		"cut":               {io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), 1, io.ErrUnexpectedEOF},
-		"reset":             {io.MultiReader(strings.NewReader("x"), iotest.ErrReader(reset)), 1, reset},
+		"empty":             {strings.NewReader(""), 0, 0, nil},
+		"byte by byte":      {iotest.OneByteReader(strings.NewReader(strings.Repeat("x", 70_000))), 0, 70_000, nil},
+		"data with the end": {iotest.DataErrReader(strings.NewReader("x")), 1, 1, nil},
+		"of the limit":      {strings.NewReader(strings.Repeat("x", 100_000)), 100_000, 100_000, nil},
+		"too long":          {strings.NewReader(strings.Repeat("x", 100_001)), 100_000, 100_001, bounded.ErrTooLong},
+		"cut":               {io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), 2, 1, io.ErrUnexpectedEOF},
+		"reset":             {io.MultiReader(strings.NewReader("x"), iotest.ErrReader(reset)), -1, 1, reset},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := &bounded.Buffer{}
-			if err := b.Fill(test.r, 100_000); !errors.Is(err, test.want) {
+			if err := b.Fill(test.r, test.expected, 100_000); !errors.Is(err, test.want) {
 				t.Errorf("got error %v, want %v", err, test.want)
 			}
 			n := int64(0)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -195,11 +195,14 @@
 
 // retryAfter returns a random delay between MinRetryAfter and twice as long, so
 // that refused callers don't retry at the same time.
-func (r *run) retryAfter() time.Duration {
-	r.g.mu.Lock()
-	defer r.g.mu.Unlock()
-	minDelay := r.g.Config.Retries.MinRetryAfter.Duration
-	return minDelay + time.Duration(r.g.rng.Int64N(int64(minDelay)+1))
+func (r *run) retryAfter() time.Duration { return r.g.RetryAfter() }
+
+// RetryAfter returns the delay that is stated to a caller who is refused.
+func (g *Gateway) RetryAfter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	minDelay := g.Config.Retries.MinRetryAfter.Duration
+	return minDelay + time.Duration(g.rng.Int64N(int64(minDelay)+1))
 }
 
 // noTarget returns the failure of a request for which no target can be used. wait is
