Limit the parts that are tracked of a cache store

Cause: a host kept the name of every part that a store reported. A store that reports parts without end, each event well formed and in time, fills the memory of every host.

Evidence: TestStoreWithEndlessPartsTakesBoundedMemory without the limit: 100,000 parts tracked of a store with room for 1,048,576 tokens. Ruled out: targets, whose parts are in an index of fixed size.

Why it works: as many parts are tracked as fit into the store at 128 tokens each. Further ones count as not stored, which costs a prompt that is read again.

--- a/internal/gateway/stores.go
+++ b/internal/gateway/stores.go
@@ -212,11 +212,19 @@
 	s.targetClock, s.answeredAt = events.Clock, answeredAt
 	s.saves.expire(g.Steady.Now())
 	for _, event := range events.Events {
-		s.apply(event)
+		if !s.apply(event) {
+			g.count("stores.partsUntracked")
+		}
 	}
 }
 
-func (s *cacheStore) apply(event CacheEvent) {
+// trackedPartTokens is the size of parts by which the number of those is limited that are tracked of a
+// store. A faulty one may report parts without end.
+const trackedPartTokens = 128
+
+// apply applies an event, and returns false for a part beyond the number that is tracked. It counts
+// as not stored.
+func (s *cacheStore) apply(event CacheEvent) bool {
 	key := partKey(event.Namespace, event.Part)
 	if held, ok := s.parts[key]; ok {
 		s.usedTokens -= roundUp(held.tokens)
@@ -226,12 +234,16 @@
 		}
 	}
 	if event.Removed {
-		return
+		return true
 	}
 	s.saves.reported(key)
+	if len(s.parts) > s.spec.Tokens/trackedPartTokens {
+		return false
+	}
 	s.parts[key] = storedPart{namespace: event.Namespace, part: event.Part, tokens: event.Tokens}
 	s.namespaces[event.Namespace]++
 	s.usedTokens += roundUp(event.Tokens)
+	return true
 }
 
 func roundUp(tokens int) int {
