Limit the answers of plain services that serve reads at the same time

Cause: an answer was read by io.ReadAll up to 16 MiB, its header up to the 10 MiB of net/http, without a limit of the sum.

Why it works: a header may have 64 KiB. The bytes of answers above 16 KiB are taken from a budget of 64 MiB while they are read. Short answers need none.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 	"sassafrasplank.example/sassafrasplank/internal/common/netconn"
 )
 
@@ -21,6 +22,10 @@
 	maxRefusalBytes = 1 << 20
 	maxAnswerBytes  = 16 << 20
 	maxEventBytes   = 64 << 10
+	maxHeaderBytes  = 64 << 10
+	maxDrainBytes   = 256 << 10
+	// maxHeldBytes limits the answers of plain services that are read at the same time.
+	maxHeldBytes = 64 << 20
 	// transferTimeout is the timeout of calls that move weights or cache blocks.
 	transferTimeout = time.Minute
 )
@@ -34,6 +39,8 @@
 	// NonRepeatable sends calls that may not be repeated. It must not reuse
 	// connections, since the transport repeats calls on a stale connection.
 	NonRepeatable *http.Transport
+	// Room limits the bytes of the answers of plain services while they are read.
+	Room *bounded.Budget
 	// Timeout is the timeout of each call except Run, Call and transfers of weights
 	// or cache blocks.
 	Timeout time.Duration
@@ -50,8 +57,11 @@
 			MaxIdleConns:        connections,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
-		NonRepeatable: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		NonRepeatable: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes},
+		Room:          &bounded.Budget{Limit: maxHeldBytes},
 		Timeout:       timeout,
 	}
 }
@@ -170,13 +180,12 @@
 		return ServiceAnswer{}, err
 	}
 	defer drain(response)
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err != nil {
-		return ServiceAnswer{}, &BrokenError{Sent: true, Err: err}
-	}
-	if len(data) > maxAnswerBytes {
-		return ServiceAnswer{}, &BrokenError{Sent: true, Err: fmt.Errorf("answer is longer than %d bytes", maxAnswerBytes)}
+	read := bounded.Buffer{Hold: bounded.Hold{Budget: c.Room}}
+	defer read.Release()
+	if err := read.Fill(response.Body, response.ContentLength, maxAnswerBytes); err != nil {
+		return ServiceAnswer{}, &BrokenError{Sent: true, Err: fmt.Errorf("answer of more than %d bytes: %w", read.Len, err)}
 	}
+	data := bytes.Join(read.Chunks, nil)
 	if len(data) == 0 && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.StatusCode < http.StatusMultipleChoices && method != http.MethodHead {
 		return ServiceAnswer{}, &BrokenError{Sent: true, Err: errNoBody}
 	}
@@ -264,6 +273,6 @@
 // drain reads the rest of the body and closes it. A connection is reused only if
 // its last body was read to the end.
 func drain(response *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxDrainBytes))
 	_ = response.Body.Close()
 }
