Compute the loads of targets for collectors only

Cause: each host described what it has placed on all targets for every exchange, 20 times a second, and left that out of the message, since collectors add up loads above 12 hosts.

Change: PeerReport has no loads any more; PeerLoads is asked where they are sent.

Result: TestExchangesComputeNoCollectedLoads, with the loads computed for each exchange as before: some 240 times in 40 intervals, want 40.

--- a/internal/dispatch/admit.go
+++ b/internal/dispatch/admit.go
@@ -10,6 +10,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/admission"
 	"sassafrasplank.example/sassafrasplank/internal/common/failure"
 	"sassafrasplank.example/sassafrasplank/internal/peer"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/retry"
 )
 
@@ -139,10 +140,17 @@
 	}
 }
 
+// PeerLoads returns what this host has placed on targets.
+func (d *Dispatcher) PeerLoads() []placement.TargetLoad {
+	now := d.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Loads(now, maxReportLoads)
+}
+
 // PeerReport returns the report for peers: the number of requests that this host
 // has admitted or queued, including those of other hosts, the demand of client
-// accounts on it, what it has placed on targets, and the requests during which
-// targets crashed.
+// accounts on it, and the requests during which targets crashed.
 func (d *Dispatcher) PeerReport() peer.Report {
 	now := d.Clock.Now()
 	d.mu.Lock()
@@ -153,7 +161,6 @@
 	for _, demand := range demands[:min(maxReportDemands, len(demands))] {
 		report.Demands = append(report.Demands, peer.AccountDemand(demand))
 	}
-	report.Loads = d.placer.Loads(now, maxReportLoads)
 	report.Suspects = d.suspects.Report(now, maxReportSuspects)
 	return report
 }
--- a/internal/gateway/pace_test.go
+++ b/internal/gateway/pace_test.go
@@ -109,7 +109,7 @@
 			f.serve(request(routing.NonIdempotent, 3))
 		}
 		reported := map[string]placement.TargetLoad{}
-		for _, l := range f.PeerReport().Loads {
+		for _, l := range f.PeerLoads() {
 			reported[l.Target] = l
 		}
 		if l := reported["d1"]; len(l.Pace.Samples) != 2 || math.Abs(l.Pace.Seconds[1]/l.Pace.Samples[1]-0.02) > 1e-6 {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,13 +53,21 @@
 	g.logPace(now)
 }
 
+// PeerLoads returns what this host has placed on targets.
+func (g *Gateway) PeerLoads() []placement.TargetLoad {
+	now := g.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.placer.Loads(now, maxReportLoads)
+}
+
 // PeerReport returns the report for peers: the number of requests being served,
-// what this host has placed on targets, and what may have crashed targets.
+// and what may have crashed targets.
 func (g *Gateway) PeerReport() peer.Report {
 	now := g.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	report := peer.Report{RequestsInFlight: g.Active(), Loads: g.placer.Loads(now, maxReportLoads)}
+	report := peer.Report{RequestsInFlight: g.Active()}
 	report.Suspects = g.suspects.Report(now, maxReportSuspects)
 	report.Leaving = g.reportLeaving(now)
 	report.Limits = g.reportLimits(now)
--- a/internal/gateway/shards_test.go
+++ b/internal/gateway/shards_test.go
@@ -144,7 +144,7 @@
 // load returns the number of requests that a host has placed on targets.
 func load(f *fixture) int {
 	n := 0
-	for _, l := range f.PeerReport().Loads {
+	for _, l := range f.PeerLoads() {
 		n += l.Requests
 	}
 	return n
--- a/internal/peer/collector.go
+++ b/internal/peer/collector.go
@@ -96,7 +96,7 @@
 		g.exchangeSums(ctx, collectors)
 		return
 	}
-	own := g.Local.PeerReport().Loads
+	own := g.Local.PeerLoads()
 	loads, err := g.callCollector(ctx, g.collectorOf(collectors), &wire.CollectLoadsRequest{Host: g.Self.Name, Loads: encodeLoads(own)})
 	if err != nil {
 		return // The loads in use expire.
@@ -201,7 +201,7 @@
 func (g *Group) reportedSum(except string, own bool) []placement.TargetLoad {
 	var list [][]placement.TargetLoad
 	if own {
-		list = append(list, g.Local.PeerReport().Loads)
+		list = append(list, g.Local.PeerLoads())
 	}
 	g.collected.mu.Lock()
 	list = append(list, fresh(g.Clock.Now(), g.collected.reported, except)...)
--- a/internal/peer/collector_test.go
+++ b/internal/peer/collector_test.go
@@ -9,8 +9,10 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -68,9 +70,14 @@
 	environment
 
 	loads []placement.TargetLoad
+	// computed counts how often the loads have been asked for.
+	computed atomic.Int64
 }
 
-func (h *loadedHost) PeerReport() Report { return Report{Loads: h.loads} }
+func (h *loadedHost) PeerLoads() []placement.TargetLoad {
+	h.computed.Add(1)
+	return h.loads
+}
 
 // runGroups runs n groups in one process until scenario returns. Each host has one
 // request on a target that all share, of which it has ten samples of 0.06 s, and 100 prompt
@@ -173,6 +180,24 @@
 	}
 }
 
+// Each exchange computed the loads of all targets and left them out of its message.
+func TestExchangesComputeNoCollectedLoads(t *testing.T) {
+	runGroups(t, 40, func(_ *directTransport, groups []*Group) {
+		time.Sleep(5 * time.Second)
+		for _, g := range groups {
+			g.Local.(*loadedHost).computed.Store(0)
+		}
+		const intervals = 40
+		time.Sleep(intervals * collectInterval)
+		for _, g := range groups {
+			n := g.Local.(*loadedHost).computed.Load()
+			if !slices.Contains(g.collectors(), g.Self.Name) && n > intervals+1 {
+				t.Errorf("%s has computed its loads %d times in %d intervals of reports to its collector, want as many", g.Self.Name, n, intervals)
+			}
+		}
+	})
+}
+
 // A load that can't be used must be left out, and no more loads be used than allowed.
 func TestUnusableLoadIsLeftOutAlone(t *testing.T) {
 	good := placement.TargetLoad{Target: "b", Requests: 2}
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -12,6 +12,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
 	"sassafrasplank.example/sassafrasplank/internal/membership"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
+	"sassafrasplank.example/sassafrasplank/internal/placement"
 	"sassafrasplank.example/sassafrasplank/internal/platform"
 	"sassafrasplank.example/sassafrasplank/internal/recordstore"
 	"sassafrasplank.example/sassafrasplank/internal/retry"
@@ -46,8 +47,10 @@
 // that peers report.
 type LocalProvider interface {
 	// PeerReport describes this host. The Group fills in the revisions, the contact
-	// with the table service, Ready and Tables.
+	// with the table service, Ready, Tables and Loads.
 	PeerReport() Report
+	// PeerLoads returns what this host has placed on targets.
+	PeerLoads() []placement.TargetLoad
 	// MergeSuspects adds the suspects that a peer reported.
 	MergeSuspects(suspects []retry.Suspect)
 	// MergeLeaving applies the leaving targets that a peer reported.
@@ -216,7 +219,7 @@
 	g.mu.Lock()
 	g.members.Tick(g.Clock.Now())
 	fanOut := g.FanOut
-	if g.CollectLoads && g.members.AliveCount() > collectAbove {
+	if g.collectsLoads() {
 		fanOut = 1 // Exchanges then need not spread the loads.
 	}
 	partners := g.partners(fanOut)
@@ -243,9 +246,8 @@
 // exchange sends one peer the updates and the report of this host, and applies
 // those of its answer. The name is empty for a seed.
 func (g *Group) exchange(ctx context.Context, name, url string) {
-	report := g.ownReport()
+	report := g.exchangedReport()
 	g.mu.Lock()
-	g.omitLoads(&report)
 	request := &wire.ExchangeRequest{
 		From:    encodeMember(g.members.Self()),
 		Report:  report.encode(),
@@ -266,15 +268,24 @@
 	}
 }
 
-// omitLoads removes the loads from a report for an exchange if they are collected. The
-// caller must hold g.mu.
-func (g *Group) omitLoads(report *Report) {
-	if g.CollectLoads && g.members.AliveCount() > collectAbove {
-		report.Loads = nil
+// exchangedReport returns the report for an exchange, which has no loads if these are collected.
+func (g *Group) exchangedReport() Report {
+	report := g.ownReport()
+	g.mu.Lock()
+	collected := g.collectsLoads()
+	g.mu.Unlock()
+	if !collected {
+		report.Loads = g.Local.PeerLoads()
 	}
+	return report
+}
+
+// collectsLoads reports whether collectors add up the loads of the hosts. The caller must hold g.mu.
+func (g *Group) collectsLoads() bool {
+	return g.CollectLoads && g.members.AliveCount() > collectAbove
 }
 
-// ownReport returns the report of this host, including the highest revision and the
+// ownReport returns the report of this host without loads, including the highest revision and the
 // latest contact with the table service that peers have reported to it.
 func (g *Group) ownReport() Report {
 	report := g.Local.PeerReport()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,10 +29,9 @@
 	if err := g.receive(g.Clock.Now(), request.From, request.Report, request.Updates, false); err != nil {
 		return nil, twirp.InvalidArgumentError("exchange", err.Error())
 	}
-	report := g.ownReport()
+	report := g.exchangedReport()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.omitLoads(&report)
 	return &wire.ExchangeResponse{
 		From:    encodeMember(g.members.Self()),
 		Report:  report.encode(),
--- a/internal/peer/traffic_test.go
+++ b/internal/peer/traffic_test.go
@@ -51,10 +51,14 @@
 	for i := range e.accounts {
 		report.Demands = append(report.Demands, AccountDemand{Account: fmt.Sprintf("account-%03d", i), TokensPerSecond: 1000, InFlight: 3})
 	}
+	return report
+}
+
+func (e *environment) PeerLoads() (loads []placement.TargetLoad) {
 	for i := range e.targets {
-		report.Loads = append(report.Loads, placement.TargetLoad{Target: fmt.Sprintf("engine-%05d", i), Requests: 2, PrefillTokens: 4000, Slowness: 1, HeldTokens: 9000})
+		loads = append(loads, placement.TargetLoad{Target: fmt.Sprintf("engine-%05d", i), Requests: 2, PrefillTokens: 4000, Slowness: 1, HeldTokens: 9000})
 	}
-	return report
+	return loads
 }
 
 // countedConn adds the bytes read and written to a counter.
