Add up the loads of hosts once for many answers of a collector

Change: loads are added up by target four times in an interval. An answer is that less what the asking host has placed; the encoded loads are shared. Sums of times (pace, off by default) can't be subtracted and are added up as before.

--- a/internal/peer/collector.go
+++ b/internal/peer/collector.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -48,6 +49,11 @@
 	reported, sums map[string]collectedLoads
 	// others are the loads of all other hosts, as the collector of this host answered.
 	others collectedLoads
+
+	// adding is held while added is replaced.
+	adding sync.Mutex
+	// added are the loads of all hosts, added up for the answers to several of them. It is nil at first.
+	added *addedLoads
 }
 
 // collectorCount returns the number of collectors of n hosts, which balances the hosts
@@ -109,7 +115,7 @@
 // exchangeSums exchanges sums with the collectors whose names are lower. Those with higher
 // names call this host.
 func (g *Group) exchangeSums(ctx context.Context, collectors []string) {
-	sum := encodeLoads(g.reportedSum("", true))
+	sum := g.addedUp().collected
 	var calls sync.WaitGroup
 	for _, name := range collectors {
 		if name >= g.Self.Name {
@@ -163,10 +169,11 @@
 	sender := g.member(request.Host)
 	g.logUnusable(&sender, err)
 	g.collected.keep(g.Clock.Now(), request.Host, request.Collector, loads)
+	added := g.addedUp()
 	if request.Collector {
-		return &wire.CollectLoadsResponse{Loads: encodeLoads(g.reportedSum("", true))}, nil
+		return &wire.CollectLoadsResponse{Loads: added.collected}, nil
 	}
-	return &wire.CollectLoadsResponse{Loads: encodeLoads(addLoads(g.reportedSum(request.Host, true), g.otherSums()))}, nil
+	return &wire.CollectLoadsResponse{Loads: added.without(request.Host)}, nil
 }
 
 // keep stores the loads that a host reported or the sums of a collector.
@@ -184,37 +191,23 @@
 }
 
 // fresh returns the loads in a map that have not expired, and deletes the others.
-func fresh(now time.Time, from map[string]collectedLoads, except string) (list [][]placement.TargetLoad) {
+func fresh(now time.Time, from map[string]collectedLoads) map[string][]placement.TargetLoad {
+	loads := make(map[string][]placement.TargetLoad, len(from))
 	for host, c := range from {
-		switch {
-		case now.Sub(c.at) > collectedMaxAge:
+		if now.Sub(c.at) > collectedMaxAge {
 			delete(from, host)
-		case host != except:
-			list = append(list, aged(c.loads, now.Sub(c.at)))
+			continue
 		}
+		loads[host] = aged(c.loads, now.Sub(c.at))
 	}
-	return list
+	return loads
 }
 
-// reportedSum returns the sum of the loads of the hosts that report to this one, except
-// one of them, and of this host itself if own is set.
-func (g *Group) reportedSum(except string, own bool) []placement.TargetLoad {
-	var list [][]placement.TargetLoad
-	if own {
-		list = append(list, g.Local.PeerLoads())
-	}
-	g.collected.mu.Lock()
-	list = append(list, fresh(g.Clock.Now(), g.collected.reported, except)...)
-	g.collected.mu.Unlock()
-	return addLoads(list...)
-}
-
-// otherSums returns the sum over the hosts that report to other collectors.
-func (g *Group) otherSums() []placement.TargetLoad {
-	g.collected.mu.Lock()
-	list := fresh(g.Clock.Now(), g.collected.sums, "")
-	g.collected.mu.Unlock()
-	return addLoads(list...)
+// fresh returns the loads of the hosts that report to this one, and the sums of other collectors.
+func (c *loadCollector) fresh(now time.Time) (reported, sums map[string][]placement.TargetLoad) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fresh(now, c.reported), fresh(now, c.sums)
 }
 
 // othersCollected returns the loads of all other hosts and their age. It returns false if
@@ -225,7 +218,8 @@
 		return nil, 0, false
 	}
 	if slices.Contains(collectors, g.Self.Name) {
-		return addLoads(g.reportedSum("", false), g.otherSums()), collectInterval, true
+		reported, sums := g.collected.fresh(g.Clock.Now())
+		return addLoads(append(slices.Collect(maps.Values(reported)), slices.Collect(maps.Values(sums))...)...), collectInterval, true
 	}
 	g.collected.mu.Lock()
 	defer g.collected.mu.Unlock()
--- a/internal/peer/collector_test.go
+++ b/internal/peer/collector_test.go
@@ -225,7 +225,7 @@
 			t.Fatalf("report of loads: got error %v, want an answer", err)
 		}
 	}
-	if diff := cmp.Diff([]placement.TargetLoad{{Target: "b", Requests: 2}}, g.reportedSum("", false)); diff != "" {
+	if diff := cmp.Diff([]placement.TargetLoad{{Target: "b", Requests: 2}}, g.addedUp().reported["host-2"]); diff != "" {
 		t.Errorf("loads (-want +got):\n%s", diff)
 	}
 	if diff := cmp.Diff([]loggedField{{"host-2", "TargetLoad.requests", "a"}}, logged(t)); diff != "" {
--- a/internal/peer/report.go
+++ b/internal/peer/report.go
@@ -124,16 +124,20 @@
 
 func encodeLoads(loads []placement.TargetLoad) []*wire.TargetLoad {
 	encoded := make([]*wire.TargetLoad, 0, len(loads))
-	for _, l := range loads {
-		load := &wire.TargetLoad{
-			Target: l.Target, Requests: int32(l.Requests), PrefillTokens: float32(l.PrefillTokens), Slowness: float32(l.Slowness), HeldTokens: float32(l.HeldTokens),
-		}
-		encodePace(load, &l.Pace)
-		encoded = append(encoded, load)
+	for i := range loads {
+		encoded = append(encoded, encodeLoad(&loads[i]))
 	}
 	return encoded
 }
 
+func encodeLoad(l *placement.TargetLoad) *wire.TargetLoad {
+	encoded := &wire.TargetLoad{
+		Target: l.Target, Requests: int32(l.Requests), PrefillTokens: float32(l.PrefillTokens), Slowness: float32(l.Slowness), HeldTokens: float32(l.HeldTokens),
+	}
+	encodePace(encoded, &l.Pace)
+	return encoded
+}
+
 func encodeSuspect(s *retry.Suspect) *wire.Suspect {
 	encoded := &wire.Suspect{
 		Fingerprint: s.Key, Crashes: int32(s.Count), AgeMillis: s.Age.Milliseconds(), Part: s.Part,
