Let periodic tasks of a routed host run at common times

Cause: some twenty periodic checks of a host each kept an interval of their own and so woke the process some 200 times a second, most of them for nothing. Each wake-up costs a pass through the scheduler of the system and of the runtime, and is paid for by all hosts at all times.

Change: on clock.Coalesced, Every and Tick end their waits at the next of common times, 50 ms apart and random for each process. Intervals are up to 25 ms longer or shorter, those below 50 ms unchanged. Only route uses it.

Ruled out: one task that calls all checks, since a check that waits for an answer would delay the others.

--- a/commands/route.go
+++ b/commands/route.go
@@ -78,7 +78,7 @@
 	client.Room = budgets[entry.BudgetAnswers]
 	client.Init()
 	return &entry.RoutedHost{
-		Config: cfg, Clock: clock.System{}, Steady: clock.Boot{}, Log: logger,
+		Config: cfg, Clock: clock.NewCoalesced(clock.System{}), Steady: clock.Boot{}, Log: logger,
 		Codec: platform.Codec{}, Transport: platform.NewTransport(), Translator: platform.Translator{},
 		OperatorTable: platform.OperatorTable, TargetTable: platform.TargetTable,
 		Targets: client, Orders: client, CacheEvents: client, Freer: client, StoreLists: client,
--- a/internal/common/clock/clock.go
+++ b/internal/common/clock/clock.go
@@ -35,10 +35,10 @@
 	}
 }
 
-// Every calls f after each interval until ctx ends. The time that f takes is added
+// Every calls f after each interval until ctx ends, see Tick. The time that f takes is added
 // to the interval.
 func Every(ctx context.Context, c Clock, interval time.Duration, f func(context.Context)) {
-	for Sleep(ctx, c, interval) == nil {
+	for Tick(ctx, c, interval) == nil {
 		f(ctx)
 	}
 }
--- a/internal/gateway/cacherelay.go
+++ b/internal/gateway/cacherelay.go
@@ -272,9 +272,9 @@
 			calls.Go(func() { g.followGroup(ctx, group, members, round) })
 			step := min(relayStep, relayCycle/time.Duration(len(groups)))
 			pause -= step
-			_ = clock.Sleep(ctx, g.Clock, step) // The loop checks ctx.
+			_ = clock.Tick(ctx, g.Clock, step) // The loop checks ctx.
 		}
-		_ = clock.Sleep(ctx, g.Clock, max(0, pause)) // The loop checks ctx.
+		_ = clock.Tick(ctx, g.Clock, max(0, pause)) // The loop checks ctx.
 		calls.Wait()
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,7 +33,7 @@
 // FollowPeers applies the loads reported by peers until ctx ends.
 func (g *Gateway) FollowPeers(ctx context.Context, peers LoadProvider) {
 	interval := peerLoadInterval
-	for clock.Sleep(ctx, g.Clock, interval) == nil {
+	for clock.Tick(ctx, g.Clock, interval) == nil {
 		g.applyPeerLoads(peers.Loads())
 		if g.HostCount != nil {
 			interval = max(peerLoadInterval, time.Duration(g.HostCount())*peerLoadPerHost)
--- a/internal/ledger/writer.go
+++ b/internal/ledger/writer.go
@@ -110,7 +110,7 @@
 // Run writes batches until ctx ends.
 func (w *Writer) Run(ctx context.Context) error {
 	lastFlush := w.Clock.Now()
-	for clock.Sleep(ctx, w.Clock, w.pause()) == nil {
+	for clock.Tick(ctx, w.Clock, w.pause()) == nil {
 		if w.CopyEvery > 0 && w.Clock.Now().Sub(lastFlush) < w.Interval() {
 			if err := w.copyUnwritten(ctx); err != nil && ctx.Err() == nil {
 				w.Log.Warn().Str("part", "ledger").Int("rows", w.Buffered()).Err(err).Msg("ledger: copying batches to a peer failed; rows stay buffered")
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -124,7 +124,7 @@
 		pause, wait := f.Pause, f.nextWait()
 		if !f.readsService() {
 			if !f.readDue() {
-				_ = clock.Sleep(ctx, f.Clock, relayInterval) // The loop checks ctx.
+				_ = clock.Tick(ctx, f.Clock, relayInterval) // The loop checks ctx.
 				continue
 			}
 			pause, wait = max(pause, relayInterval), 0
@@ -160,7 +160,7 @@
 	f.mu.Unlock()
 	err := clock.Sleep(ctx, f.Clock, retryPause)
 	for err == nil && loaded && f.RetryDue != nil && !f.RetryDue(failedAt) {
-		err = clock.Sleep(ctx, f.Clock, relayInterval)
+		err = clock.Tick(ctx, f.Clock, relayInterval)
 	}
 }
 
