Take nothing for a body that is refused for want of room

Callers saw: after clients had sent many long bodies at once, all long bodies were refused with 503 for good, also those of callers that send one at a time.

Cause: the first 16 KiB of a body are never refused, but count toward the memory that a host holds. They were counted before the rest was refused, and a caller whose stated length finds no room has nothing to give back. 4,000 refusals filled a host of 134 MB with what nobody held. Of the same class: any holder whose first extension fails.

Change: an extension that fails takes nothing.

--- a/internal/common/bounded/budget.go
+++ b/internal/common/bounded/budget.go
@@ -73,20 +73,19 @@
 	taken, free int64
 }
 
-// Extend takes what n bytes need in all, and reports whether the budget had room.
+// Extend takes what n bytes need in all, and reports whether the budget had room. If not, it takes nothing.
 func (h *Hold) Extend(n int64) bool {
+	if n > freeBytes+h.taken {
+		more := (n - freeBytes - h.taken + stepBytes - 1) / stepBytes * stepBytes
+		if !h.Budget.take(more) {
+			return false
+		}
+		h.taken += more
+	}
 	if free := min((n+freeStepBytes-1)/freeStepBytes*freeStepBytes, freeBytes); free > h.free {
 		h.Budget.countFree(free - h.free)
 		h.free = free
 	}
-	if n <= freeBytes+h.taken {
-		return true
-	}
-	more := (n - freeBytes - h.taken + stepBytes - 1) / stepBytes * stepBytes
-	if !h.Budget.take(more) {
-		return false
-	}
-	h.taken += more
 	return true
 }
 
--- a/internal/common/bounded/budget_test.go
+++ b/internal/common/bounded/budget_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// A body for which there was no room, and which was refused, took the first part of its bytes for good.
+func TestRefusedBodyTakesNothing(t *testing.T) {
+	parent := &bounded.Budget{Limit: 256 << 10}
+	budget := &bounded.Budget{Limit: 64 << 10, Parent: parent}
+	for range 100 {
+		if b := (&bounded.Buffer{Hold: bounded.Hold{Budget: budget}}); b.Reserve(1 << 20) {
+			t.Fatal("a body longer than the budget has found room")
+		}
+	}
+	if diff := cmp.Diff([]int64{0, 0}, []int64{parent.Taken(), budget.Taken()}); diff != "" {
+		t.Errorf("bytes taken after all bodies were refused (-want +got):\n%s", diff)
+	}
+}
+
 // Budgets that are within their limits each must not exceed the memory of the host together, and short
 // bodies, which are never refused, must take the room of long ones.
 func TestBudgetsTogetherKeepToParent(t *testing.T) {
