Close stalled bodies before kept connections

Cause: if a listener has all connections it may have, a new one took the place of the longest idle one before that of any body, however long that had brought nothing; and of one that was used milliseconds ago before that of a header or body that has waited for a second.

Change: first those whose body brings less than 4 KiB in 2 s, after those that have ended or whose header is 1 s late, and before idle ones; then the one that has waited longest, be it for a header, a body or the next request. A body that keeps arriving isn't closed for that.

Tests: TestStalledBodyIsClosedBeforeKeptConnection (before: the kept connection is at its end), TestConnectionInUseIsClosedLast (before: reset by peer).

--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -133,7 +133,9 @@
 	counted      bool
 	wait         waitKind
 	waitingSince time.Time
-	element      *list.Element
+	// arrived is the number of bytes of a body since then.
+	arrived int
+	element *list.Element
 }
 
 func (c *connection) setState(state http.ConnState) {
@@ -209,6 +211,9 @@
 	if c.phase != serving && !c.takeHeader(read) {
 		return 0, os.ErrDeadlineExceeded // The server answers no request that took too long.
 	}
+	if c.phase == serving {
+		c.listener.bodyArrived(c, len(read))
+	}
 	return len(read), nil
 }
 
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -72,6 +72,10 @@
 	// newHeaderTime is how long a connection may take to send its header before it is closed in
 	// favor of a new one. Callers send a header at once, so it is longer than a sound one takes.
 	newHeaderTime = time.Second
+	// stalledBodyTime is how long a body may bring less than stalledBodyBytes before its connection is closed in
+	// favor of a new one. A lost packet is sent again within it.
+	stalledBodyTime  = 2 * time.Second
+	stalledBodyBytes = 4 << 10
 	// stalledTime is how long one write of an answer may take before its connection is closed in favor
 	// of a new one. A sound caller reads some 64 KiB in it.
 	stalledTime = 5 * time.Second
@@ -125,15 +129,29 @@
 }
 
 // longestWaiting returns the connection that is the first to be closed: one that has ended, one whose
-// header takes long, an idle one, one whose answer or body takes long, or else the one that has waited
-// longest for the rest of its header or body.
+// header, body or answer has stalled, or else the one that has waited longest for its next request, or for the
+// rest of its header or body. An idle one isn't closed before those that have stalled, since its next request may be on
+// its way.
 func (l *Listener) longestWaiting() *connection {
-	if c := l.first(waitClose); c != nil {
-		return c
+	for _, stalled := range []struct {
+		kind waitKind
+		time time.Duration
+	}{{waitClose, 0}, {waitHeader, newHeaderTime}, {waitBody, stalledBodyTime}, {waitRead, stalledTime}} {
+		if c := l.first(stalled.kind); c.hasWaited(stalled.time) {
+			return c
+		}
 	}
-	if c := l.first(waitHeader); c.hasWaited(newHeaderTime) {
-		return c
+	longest := l.longestIdle()
+	for _, c := range []*connection{l.first(waitHeader), l.first(waitBody)} {
+		if c != nil && (longest == nil || c.waitingSince.Before(longest.waitingSince)) {
+			longest = c
+		}
 	}
+	return longest
+}
+
+// longestIdle returns the connection that has been idle longest and whose next request hasn't arrived, or nil.
+func (l *Listener) longestIdle() *connection {
 	idle := l.registry.waiting[waitRequest].Front()
 	for n := 0; idle != nil && n < maxPending; n++ {
 		if c, ok := idle.Value.(*connection); ok && !c.hasPending() {
@@ -141,14 +159,7 @@
 		}
 		idle = idle.Next()
 	}
-	if c := l.first(waitRead); c.hasWaited(stalledTime) {
-		return c
-	}
-	headers, bodies := l.first(waitHeader), l.first(waitBody)
-	if headers == nil || bodies != nil && bodies.waitingSince.Before(headers.waitingSince) {
-		return bodies
-	}
-	return headers
+	return nil
 }
 
 // hasWaited reports whether a connection, if there is one, has waited for the given time.
@@ -176,6 +187,19 @@
 	return before
 }
 
+// bodyArrived records that a part of a body has arrived.
+func (l *Listener) bodyArrived(c *connection, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.counted || c.wait != waitBody {
+		return
+	}
+	if c.arrived += n; c.arrived >= stalledBodyBytes {
+		l.delist(c)
+		l.enlist(c, waitBody)
+	}
+}
+
 // remove removes a connection that is closed.
 func (l *Listener) remove(c *connection) {
 	l.mu.Lock()
@@ -192,7 +216,7 @@
 }
 
 func (l *Listener) enlist(c *connection, kind waitKind) {
-	c.wait, c.waitingSince = kind, l.Clock.Now()
+	c.wait, c.waitingSince, c.arrived = kind, l.Clock.Now(), 0
 	if kind != waitNone {
 		c.element = l.registry.waiting[kind].PushBack(c)
 	}
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -290,6 +290,53 @@
 	}
 }
 
+// Bodies that stalled kept their connections while new ones took those of callers between two requests.
+func TestStalledBodyIsClosedBeforeKeptConnection(t *testing.T) {
+	const limit = 4
+	s := startLimited(t, caller.Limits{Connections: limit}, func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != http.NoBody {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(neverExpires))
+			_, _ = io.ReadAll(r.Body)
+		}
+		answerOK(w, r)
+	})
+	kept, keptReader := dial(t, s.address)
+	roundTrip(t, kept, keptReader)
+	arriving, arrivingReader := dial(t, s.address)
+	send(t, arriving, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n")
+	for range limit - 2 {
+		conn, _ := dial(t, s.address)
+		send(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	}
+	part := strings.Repeat("x", 10_000)
+	for range 10 { // For 3 s.
+		time.Sleep(300 * time.Millisecond)
+		send(t, arriving, part)
+	}
+	for range limit - 2 {
+		conn, r := dial(t, s.address)
+		roundTrip(t, conn, r)
+	}
+	eventually(t, "the stalled bodies are closed", func() bool { return s.count(caller.LimitConnections) == limit-2 })
+	roundTrip(t, kept, keptReader)
+	send(t, arriving, strings.Repeat(part, 10))
+	if got := readAnswer(t, arriving, arrivingReader, maxWait); got.Body != "ok" {
+		t.Errorf("got %+v, want the answer to the request whose body kept arriving", got)
+	}
+}
+
+// A connection that was just used was closed for a new one, while its next request was on its way.
+func TestConnectionInUseIsClosedLast(t *testing.T) {
+	const limit = 3
+	s := startLimited(t, caller.Limits{Connections: limit}, answerOK)
+	kept, keptReader := dial(t, s.address)
+	for range 20 {
+		conn, _ := dial(t, s.address)
+		send(t, conn, "G")
+		roundTrip(t, kept, keptReader)
+	}
+}
+
 // A connection above the limit is refused while requests run on all others.
 func TestNewConnectionIsRefusedWhileRequestsRun(t *testing.T) {
 	const limit = 2
