Decode the messages of a completion one by one, and count a long prompt

Callers saw (serve): 400 clients that send completions of legal length with very many short messages took a host to 219 MB where 134 are allowed; the platform ends such a process, and with it all requests.

Cause: a body counted three times its bytes, but '{},' takes 32 bytes as a message and 25 in the prompt, more while slices and buffers grow; '<' takes six bytes in the prompt and seven in the request to the target.

Change: each message is decoded, added to the prompt and dropped. What the prompt is longer than the body counts four times toward the budget of bodies, before it is built: 503 if there is no room now, 413 if there never is.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -38,8 +38,8 @@
 		return nil, failure.NotRun(http.StatusRequestEntityTooLarge, failure.TooLarge,
 			"the body is longer than %d bytes", tooLarge.Limit)
 	}
-	if errors.Is(err, bounded.ErrNoRoom) {
-		return nil, failure.Busy(failure.Overloaded, refusalRetry, "no room for the body")
+	if refusal := refusalOf(err); refusal != nil {
+		return nil, refusal
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, failure.NotRun(http.StatusRequestTimeout, failure.BadRequest, "the body did not arrive within %v", s.Config.BodyTimeout.Duration)
@@ -81,12 +81,28 @@
 	_ = control.SetReadDeadline(c.Now())
 }
 
+// refusalOf returns the refusal of a request for whose body or prompt there is no room, or nil for any other
+// error.
+func refusalOf(err error) error {
+	switch {
+	case errors.Is(err, bounded.ErrNoRoom):
+		return failure.Busy(failure.Overloaded, refusalRetry, "no room for the body")
+	case errors.Is(err, bounded.ErrTooLong):
+		return failure.NotRun(http.StatusRequestEntityTooLarge, failure.TooLarge, "the prompt takes more memory than this host has for bodies")
+	default:
+		return nil
+	}
+}
+
 // decode decodes a JSON body. Its errors include the line and column if known.
 func decode(data []byte, value any) error {
 	err := json.Unmarshal(data, value)
 	if err == nil {
 		return nil
 	}
+	if refusal := refusalOf(err); refusal != nil {
+		return refusal
+	}
 	offset := int64(-1)
 	var syntax *json.SyntaxError
 	var mismatch *json.UnmarshalTypeError
--- a/internal/caller/bodybudget.go
+++ b/internal/caller/bodybudget.go
@@ -29,6 +29,20 @@
 	hold         bounded.Hold
 }
 
+// extend takes bytes beyond the copies of what was read. It returns bounded.ErrNoRoom if the budget has no room
+// for them now, and bounded.ErrTooLong if it never has.
+func (b *budgetedBody) extend(more int64) error {
+	n := b.copies*b.read + more
+	switch {
+	case b.hold.Budget != nil && n > b.hold.Budget.Limit:
+		return bounded.ErrTooLong
+	case !b.hold.Extend(n):
+		return bounded.ErrNoRoom
+	default:
+		return nil
+	}
+}
+
 // Read reads from the body.
 func (b *budgetedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
--- a/internal/caller/completion.go
+++ b/internal/caller/completion.go
@@ -38,30 +38,31 @@
 		*t = Content(text)
 		return nil
 	}
-	var parts []struct {
-		Type string `json:"type"`
-		Text string `json:"text"`
-	}
-	if err := json.Unmarshal(data, &parts); err != nil {
-		return err
-	}
 	var joined strings.Builder
-	for _, part := range parts {
+	err := eachElement(data, func(element []byte) error {
+		var part struct {
+			Type string `json:"type"`
+			Text string `json:"text"`
+		}
+		if err := json.Unmarshal(element, &part); err != nil {
+			return err
+		}
 		if part.Type != "text" {
 			return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "content of type %q is not supported", part.Type)
 		}
 		joined.WriteString(part.Text)
-	}
+		return nil
+	})
 	*t = Content(joined.String())
-	return nil
+	return err
 }
 
 type chatRequest struct {
-	Model               string    `json:"model"`
-	Messages            []Message `json:"messages"`
-	MaxTokens           int       `json:"max_tokens"`
-	MaxCompletionTokens int       `json:"max_completion_tokens"`
-	Stream              bool      `json:"stream"`
+	Model               string       `json:"model"`
+	Messages            conversation `json:"messages"`
+	MaxTokens           int          `json:"max_tokens"`
+	MaxCompletionTokens int          `json:"max_completion_tokens"`
+	Stream              bool         `json:"stream"`
 }
 
 type completionRequest struct {
@@ -75,16 +76,11 @@
 // a conversation continues, the new prompt starts with the previous prompt, so that
 // the cached blocks of the previous prompt are reused.
 func ChatPrompt(messages []Message) string {
-	var prompt strings.Builder
-	for _, m := range messages {
-		text, err := json.Marshal(m)
-		if err != nil {
-			continue
-		}
-		prompt.Write(text)
-		prompt.WriteByte('\n')
+	var c conversation
+	for i := range messages {
+		_ = c.add(&messages[i]) // There is no limit of room.
 	}
-	return prompt.String()
+	return c.prompt.String()
 }
 
 func (s *Server) chat(c echo.Context) error {
@@ -92,11 +88,11 @@
 	if err != nil {
 		return err
 	}
-	var request chatRequest
+	request := chatRequest{Messages: conversation{takeRoom: promptRoom(c.Request(), len(data))}}
 	if err := decode(data, &request); err != nil {
 		return err
 	}
-	if len(request.Messages) == 0 {
+	if request.Messages.count == 0 {
 		return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "messages: at least one message is required")
 	}
 	maxTokens := request.MaxTokens
@@ -106,7 +102,7 @@
 	g := &dispatch.GenerationRequest{
 		Account:   accountOf(c),
 		Model:     request.Model,
-		Prompt:    ChatPrompt(request.Messages),
+		Prompt:    request.Messages.prompt.String(),
 		MaxTokens: maxTokens,
 	}
 	return s.generate(c, g, request.Stream, chatFormat)
@@ -124,6 +120,9 @@
 	if request.Prompt == "" {
 		return failure.NotRun(http.StatusBadRequest, failure.BadRequest, "prompt: a text that is not empty is required")
 	}
+	if err := promptRoom(c.Request(), len(data))(len(request.Prompt)); err != nil {
+		return refusalOf(err)
+	}
 	g := &dispatch.GenerationRequest{
 		Account:   accountOf(c),
 		Model:     request.Model,
