Count what the entries of a message between hosts take

Callers saw: messages of legal length with entries of two bytes, sent to the listener for hosts by 400 clients, took a host to 311 MB where 134 are allowed, on route and serve; one alone takes 300 MB. The platform ends such a process.

Cause: a message counted four times its bytes, but an entry that is empty on the wire takes some 150 bytes when it is decoded, and its list grows by copying.

Change: before a message is decoded, its fields are counted by the descriptor of the call, and what they become is taken from the budget of messages: 503 if there is no room now, 413 if there never is. Hosts send no JSON, which is refused with 415.

--- a/internal/caller/bodybudget.go
+++ b/internal/caller/bodybudget.go
@@ -29,6 +29,16 @@
 	hold         bounded.Hold
 }
 
+// TakeRoom takes bytes from the budget of the body of a request, besides the copies of what was read, until the
+// request ends. It returns bounded.ErrNoRoom if the budget has no room for them now, and bounded.ErrTooLong if
+// it never has. A request without a budget has room for any.
+func TakeRoom(r *http.Request, bytes int64) error {
+	if body, ok := r.Body.(*budgetedBody); ok {
+		return body.extend(bytes)
+	}
+	return nil
+}
+
 // extend takes bytes beyond the copies of what was read. It returns bounded.ErrNoRoom if the budget has no room
 // for them now, and bounded.ErrTooLong if it never has.
 func (b *budgetedBody) extend(more int64) error {
--- a/internal/caller/conversation.go
+++ b/internal/caller/conversation.go
@@ -63,15 +63,13 @@
 // buffers that double, and in the request to the target.
 const promptCopies = 4
 
-// promptRoom returns a function that takes the room for a prompt which is longer than its body, see
-// budgetedBody.
+// promptRoom returns a function that takes the room for a prompt which is longer than its body, see TakeRoom.
 func promptRoom(r *http.Request, bodyBytes int) func(length int) error {
-	body, ok := r.Body.(*budgetedBody)
 	return func(length int) error {
-		if !ok || length <= bodyBytes {
+		if length <= bodyBytes {
 			return nil
 		}
-		return body.extend(promptCopies * int64(length-bodyBytes))
+		return TakeRoom(r, promptCopies*int64(length-bodyBytes))
 	}
 }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -288,7 +288,7 @@
 	return []http.Handler{
 		caller.WithBodyBudget(callers.Handler(), h.budgets[BudgetBodies], bodyCopies),
 		withBodyLimits(operators.Handler(), h.Clock, h.budgets[BudgetMessages], timeout),
-		withBodyLimits(h.group.Handler(), h.Clock, h.budgets[BudgetMessages], timeout),
+		withBodyLimits(withMessageRoom(h.group.Handler()), h.Clock, h.budgets[BudgetMessages], timeout),
 	}
 }
 
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -1,7 +1,11 @@
 package entry
 
 import (
+	"bytes"
+	"errors"
+	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -11,6 +15,7 @@
 	"sassafrasplank.example/sassafrasplank/internal/caller"
 	"sassafrasplank.example/sassafrasplank/internal/common/bounded"
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/peer"
 )
 
 // Limits for the connections of other parties, besides those of memory. None is reached by callers,
@@ -44,7 +49,9 @@
 	headerFactor = 2
 	headerMargin = 8 << 10
 	// messageCopies is how often the bytes of a message of a peer are held while it is decoded.
-	messageCopies = 4
+	messageCopies = 5
+	// maxMessageBytes limits a message of a peer.
+	maxMessageBytes = 16 << 20
 )
 
 // Names of the budgets of memory, by what they hold of other parties.
@@ -144,3 +151,36 @@
 func withBodyLimits(next http.Handler, c clock.Clock, budget *bounded.Budget, timeout time.Duration) http.Handler {
 	return caller.WithBodyTimeout(caller.WithBodyBudget(next, budget, messageCopies), c, timeout)
 }
+
+// messageType is the type of the messages between hosts.
+const messageType = "application/protobuf"
+
+// withMessageRoom returns a handler like next, for calls of peers, that decodes a message only if there is room
+// for what it becomes: short entries take many times their bytes.
+func withMessageRoom(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Content-Type") != messageType {
+			http.Error(w, "want messages of type "+messageType, http.StatusUnsupportedMediaType)
+			return
+		}
+		var message bounded.Buffer // The budget counts what is read.
+		err := message.Fill(r.Body, max(0, min(r.ContentLength, maxMessageBytes)), maxMessageBytes)
+		data := bytes.Join(message.Chunks, nil)
+		if err == nil {
+			err = caller.TakeRoom(r, peer.DecodedBytes(r.URL.Path, data))
+		}
+		switch {
+		case errors.Is(err, bounded.ErrNoRoom):
+			http.Error(w, "no room for the message", http.StatusServiceUnavailable)
+		case errors.Is(err, bounded.ErrTooLong):
+			http.Error(w, "the message is too long or has too many entries", http.StatusRequestEntityTooLarge)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			http.Error(w, "the message did not arrive in time", http.StatusRequestTimeout)
+		case err != nil:
+			http.Error(w, "reading the message: "+err.Error(), http.StatusBadRequest)
+		default:
+			r.Body = io.NopCloser(bytes.NewReader(data))
+			next.ServeHTTP(w, r)
+		}
+	})
+}
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -520,7 +520,7 @@
 	internal.GET("/readyz", operator.Readiness(h.ready))
 	internal.GET("/metrics", operator.Metrics(h.metrics))
 	var listeners []*listener
-	peers = withBodyLimits(peers, h.Clock, h.Budgets[BudgetMessages], defaultHeaderTimeout)
+	peers = withBodyLimits(withMessageRoom(peers), h.Clock, h.Budgets[BudgetMessages], defaultHeaderTimeout)
 	limited := withBodyLimits(internal, h.Clock, h.Budgets[BudgetMessages], defaultHeaderTimeout)
 	connections, exceeded := limitConnections(h.Config.MemoryBytes, openFiles()), countExceeded(h.metrics)
 	longHeaders := headerRate(h.Budgets[BudgetHeaders])
