--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -134,10 +134,10 @@
 // its way.
 func (l *Listener) longestWaiting() *connection {
 	for _, stalled := range []struct {
-		kind waitKind
-		time time.Duration
+		kind  waitKind
+		after time.Duration
 	}{{waitClose, 0}, {waitHeader, newHeaderTime}, {waitBody, stalledBodyTime}, {waitRead, stalledTime}} {
-		if c := l.first(stalled.kind); c.hasWaited(stalled.time) {
+		if c := l.first(stalled.kind); c.hasWaited(stalled.after) {
 			return c
 		}
 	}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -50,8 +50,6 @@
 	headerMargin = 8 << 10
 	// messageCopies is how often the bytes of a message of a peer are held while it is decoded.
 	messageCopies = 5
-	// maxMessageBytes limits a message of a peer.
-	maxMessageBytes = 16 << 20
 )
 
 // Names of the budgets of memory, by what they hold of other parties.
@@ -164,7 +162,7 @@
 			return
 		}
 		var message bounded.Buffer // The budget counts what is read.
-		err := message.Fill(r.Body, max(0, min(r.ContentLength, maxMessageBytes)), maxMessageBytes)
+		err := message.Fill(r.Body, min(r.ContentLength, peer.MaxMessageBytes), peer.MaxMessageBytes)
 		data := bytes.Join(message.Chunks, nil)
 		if err == nil {
 			err = caller.TakeRoom(r, peer.DecodedBytes(r.URL.Path, data))
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -6,11 +6,11 @@
 	"net/http"
 )
 
-// maxMessageBytes limits the body of one message from a peer. The longest contains the
+// MaxMessageBytes limits the body of one message from a peer. The longest contains the
 // complete copy of a table.
-const maxMessageBytes = 16 << 20
+const MaxMessageBytes = 16 << 20
 
-// limitedTransport fails the reading of answers that are longer than maxMessageBytes.
+// limitedTransport fails the reading of answers that are longer than MaxMessageBytes.
 type limitedTransport struct {
 	base http.RoundTripper
 }
@@ -19,7 +19,7 @@
 func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.base.RoundTrip(r)
 	if err == nil {
-		response.Body = &limitedBody{ReadCloser: response.Body, left: maxMessageBytes}
+		response.Body = &limitedBody{ReadCloser: response.Body, left: MaxMessageBytes}
 	}
 	return response, err
 }
@@ -35,12 +35,12 @@
 func (b *limitedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if b.left -= n; b.left < 0 {
-		return 0, fmt.Errorf("message from a peer is longer than %d bytes", maxMessageBytes)
+		return 0, fmt.Errorf("message from a peer is longer than %d bytes", MaxMessageBytes)
 	}
 	return n, err
 }
 
-// limited returns a client whose answers are limited to maxMessageBytes.
+// limited returns a client whose answers are limited to MaxMessageBytes.
 func limited(client *http.Client) *http.Client {
 	base := client.Transport
 	if base == nil {
--- a/internal/peer/undecodable.go
+++ b/internal/peer/undecodable.go
@@ -20,7 +20,7 @@
 // Handler returns the HTTP interface for other entry hosts.
 func (g *Group) Handler() http.Handler {
 	hooks := &twirp.ServerHooks{Error: g.logUndecodable}
-	calls := http.MaxBytesHandler(wire.NewPeerServer(&server{group: g}, twirp.WithServerHooks(hooks)), maxMessageBytes)
+	calls := http.MaxBytesHandler(wire.NewPeerServer(&server{group: g}, twirp.WithServerHooks(hooks)), MaxMessageBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), callKey{}, r)))
 	})
