Measure how late a changed row is in force on each host

Change: rows carry the time, by the clock of the table service, at which the first host received them. table.lateMicros.TABLE, table.peerReads, table.peerReadsFailed, table.peerReadMicros; the lines of rows from peers tell since when a peer has had newer ones. No decision changes.

Measured: tests of internal/platform, internal/entry, internal/peer pass.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -273,12 +273,14 @@
 	operators.NextWait = h.readerWait
 	followers := tableCopies{operators, targets, shared}
 	startedAt := h.Clock.Now()
+	relay := newMeasuredRelay(h.group, h.Clock, h.metrics)
 	for _, f := range followers {
 		maxAge := h.Config.ContactMaxAge()
 		if f == shared {
 			maxAge = sharedWait
 		}
-		f.Client, f.Relay, f.Clock, f.Log = h.table, h.group, h.Clock, h.Log
+		f.Client, f.Relay, f.Clock, f.Log = h.table, relay, h.Clock, h.Log
+		f.Applied = h.measureLateness(f.Table)
 		f.ReadsService = func() bool { return h.readsTables(startedAt) }
 		f.ReadDue = func(answeredAt time.Time) bool {
 			due := h.isLargeGroup() && h.group.ReadDue(table.Readers, answeredAt, maxAge)
@@ -412,7 +414,9 @@
 			h.Log.Error().Str("part", "config").Int64("rowVersion", row.Version).Err(err).Msg("config: row rejected, the previous configuration stays in force")
 		}
 		if c != nil && h.setRoutes(c) {
+			times := h.rowTimes(row)
 			h.Log.Info().Str("part", "config").Int64("version", c.Version).Int64("rowVersion", row.Version).
+				Dur("sinceSeen", times.SinceSeen).Dur("sinceWritten", times.SinceWritten).Int("bytes", len(row.Value)).
 				Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Str("sharedCache", c.Cache("")).Msg("config: in force")
 		}
 		model, version, err := h.Translator.Version(row)
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -78,6 +78,9 @@
 	// Apply receives changed rows, or all rows of the table when full is set. Calls
 	// are not concurrent.
 	Apply func(rows []Row, full bool)
+	// Applied is called for each changed row after Apply, but not for the rows of a complete
+	// table. It may be nil.
+	Applied func(row Row)
 	// OnUnavailable and OnAvailable are called when the service becomes unavailable
 	// to this follower, or available again. They may be nil.
 	OnUnavailable, OnAvailable func()
@@ -233,6 +236,9 @@
 	for _, row := range page.Rows {
 		// Rows of a peer may have a later time.
 		row.WrittenAfterMillis = max(row.WrittenAfterMillis, f.completeMillis)
+		if row.SeenMillis == 0 {
+			row.SeenMillis = page.ClockMillis // That of a page from a peer is 0.
+		}
 		if f.put(row) {
 			changed = append(changed, row)
 		}
@@ -245,6 +251,11 @@
 	if len(changed) > 0 {
 		f.Apply(changed, false)
 	}
+	if f.Applied != nil {
+		for _, row := range changed {
+			f.Applied(row)
+		}
+	}
 }
 
 // put stores a row and returns true, unless the same or a newer version is known.
@@ -343,7 +354,7 @@
 	for _, row := range rows {
 		row.WrittenAfterMillis = max(row.WrittenAfterMillis, completeBefore)
 		if known, ok := before[row.Key]; ok && known.Position() == row.Position() {
-			row.WrittenAfterMillis = known.WrittenAfterMillis
+			row.WrittenAfterMillis, row.SeenMillis = known.WrittenAfterMillis, known.SeenMillis
 		}
 		f.put(row)
 		if !row.Removed {
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -29,18 +29,21 @@
 	}
 	behind := !f.aheadSince.IsZero()
 	due := behind && now.Sub(f.aheadSince) >= relayDelay
+	aheadSince, answeredAt := f.aheadSince, f.answeredAt
 	f.mu.Unlock()
 	if !due && (!behind || f.readsService()) {
 		return
 	}
 	page, err := f.Relay.PeerRows(ctx, f.Table, from)
 	if err != nil {
-		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("era", newest.Era).Err(err).
+		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("era", newest.Era).
+			Dur("behind", f.Clock.Now().Sub(aheadSince)).Dur("sinceAnswer", f.Clock.Now().Sub(answeredAt)).Err(err).
 			Msg("follower: reading rows from a peer failed")
 		return
 	}
 	f.Log.Info().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("ahead", ahead.Version).
-		Int64("era", ahead.Era).Int("rows", len(page.Rows)).Bool("whole", page.Whole).Msg("follower: received rows from a peer")
+		Int64("era", ahead.Era).Int("rows", len(page.Rows)).Bool("whole", page.Whole).
+		Dur("behind", f.Clock.Now().Sub(aheadSince)).Dur("sinceAnswer", f.Clock.Now().Sub(answeredAt)).Msg("follower: received rows from a peer")
 	// The copy then includes the changes that peers have reported, as far as this peer has them.
 	at := Position{Era: page.Era, Version: page.Version}
 	included := ahead
--- a/internal/platform/row.go
+++ b/internal/platform/row.go
@@ -27,6 +27,10 @@
 	// to the host that read it. It is 0 if no such time is known, as for the rows that a
 	// Follower reads first. A Follower sets it.
 	WrittenAfterMillis int64 `json:"writtenAfterMillis,omitempty"`
+	// SeenMillis is the clock of the service at the answer with which the first host, as far as is
+	// known, received this version of the row. It is 0 if no host has received it as a change, or
+	// if a host of a build before this field has passed it on. A Follower sets it.
+	SeenMillis int64 `json:"seenMillis,omitempty"`
 }
 
 // Position returns the position of the row in the history of its table.
