Send long rows to two hosts at a time, and read them from any peer that has them

Cause: all hosts that hear of a newer row asked the peer that reported it first, one of three readers, at the same moment. At 300 KB and 10 Mbit/s, twenty copies at once take 5 s, each caller gave up after 1 s and asked again: the link carried only what was thrown away, and the readers' other messages waited behind it, so that hosts took them for suspects.

Change: a host sends at most two long answers (16 KiB) at a time and refuses others at once (table.peerReadsBusy). Hosts pick one of all peers that report the newest row, at random, and prefer others for 0.5 s after one gave no rows.

The fake links now hold up the handler that writes an answer.

--- a/internal/entry/lateness.go
+++ b/internal/entry/lateness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -52,19 +53,19 @@
 }
 
 // measuredRelay counts the reads of rows from peers and measures the time that they take, as
-// table.peerReads, table.peerReadsFailed and table.peerReadMicros.
+// table.peerReads, table.peerReadsBusy, table.peerReadsFailed and table.peerReadMicros.
 type measuredRelay struct {
 	platform.TableRelay
 
-	Clock         clock.Clock
-	reads, failed metrics.Counter
-	micros        metrics.Histogram
+	Clock               clock.Clock
+	reads, busy, failed metrics.Counter
+	micros              metrics.Histogram
 }
 
 func newMeasuredRelay(relay platform.TableRelay, c clock.Clock, registry metrics.Registry) *measuredRelay {
 	return &measuredRelay{
 		TableRelay: relay, Clock: c,
-		reads: metrics.NewRegisteredCounter("table.peerReads", registry), failed: metrics.NewRegisteredCounter("table.peerReadsFailed", registry),
+		reads: metrics.NewRegisteredCounter("table.peerReads", registry), busy: metrics.NewRegisteredCounter("table.peerReadsBusy", registry), failed: metrics.NewRegisteredCounter("table.peerReadsFailed", registry),
 		micros: metrics.NewRegisteredHistogram("table.peerReadMicros", registry, metrics.NewExpDecaySample(histogramSample, histogramAlpha)),
 	}
 }
@@ -74,10 +75,13 @@
 	startedAt := r.Clock.Now()
 	page, err := r.TableRelay.PeerRows(ctx, table, after)
 	r.reads.Inc(1)
-	if err != nil {
+	switch {
+	case errors.Is(err, platform.ErrPeerBusy):
+		r.busy.Inc(1)
+	case err != nil:
 		r.failed.Inc(1)
-		return page, err
+	default:
+		r.micros.Update(r.Clock.Now().Sub(startedAt).Microseconds())
 	}
-	r.micros.Update(r.Clock.Now().Sub(startedAt).Microseconds())
-	return page, nil
+	return page, err
 }
--- a/internal/entry/links_test.go
+++ b/internal/entry/links_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 
@@ -33,28 +35,63 @@
 	return l.freeAt
 }
 
-// linkedBody is the body of an answer that arrives over links. A transfer that is given up leaves room
-// for the others.
-type linkedBody struct {
-	io.Reader
-
-	ctx   context.Context
-	rate  float64
-	links []*link
+// linkedAnswer is an answer that arrives over links, while its handler writes it. An answer that is given up
+// leaves room for the others.
+type linkedAnswer struct {
+	ctx    context.Context
+	rate   float64
+	links  []*link
+	header http.Header
+	body   *io.PipeWriter
+	// status receives the status once.
+	status chan int
+	once   sync.Once
 }
 
-func (b *linkedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p[:min(len(p), segmentBytes)])
-	arrives := time.Now()
-	for _, l := range b.links {
-		if at := l.reserve(time.Duration(float64(n) / b.rate * float64(time.Second))); at.After(arrives) {
-			arrives = at
+func (a *linkedAnswer) Header() http.Header { return a.header }
+
+func (a *linkedAnswer) WriteHeader(status int) { a.once.Do(func() { a.status <- status }) }
+
+func (a *linkedAnswer) Write(p []byte) (n int, err error) {
+	a.WriteHeader(http.StatusOK)
+	for len(p) > 0 && err == nil {
+		segment := p[:min(len(p), segmentBytes)]
+		arrives := time.Now()
+		for _, l := range a.links {
+			if at := l.reserve(time.Duration(float64(len(segment)) / a.rate * float64(time.Second))); at.After(arrives) {
+				arrives = at
+			}
+		}
+		if err = clock.Sleep(a.ctx, clock.System{}, time.Until(arrives)); err == nil {
+			_, err = a.body.Write(segment)
+			n, p = n+len(segment), p[len(segment):]
 		}
-	}
-	if late := clock.Sleep(b.ctx, clock.System{}, time.Until(arrives)); late != nil {
-		return 0, late
 	}
 	return n, err
 }
 
-func (b *linkedBody) Close() error { return nil }
+// answer runs a handler whose answer arrives over links.
+func (h *callHost) answer(handler http.Handler, r *http.Request, sender *link) (*http.Response, error) {
+	body, writer := io.Pipe()
+	a := &linkedAnswer{ctx: r.Context(), rate: h.group.linkRate, links: []*link{sender, &h.receives}, header: http.Header{}, body: writer, status: make(chan int, 1)}
+	context.AfterFunc(r.Context(), func() { _ = writer.CloseWithError(r.Context().Err()) })
+	go func() {
+		if sender == nil {
+			// The table service holds a lock while it writes an answer.
+			whole := httptest.NewRecorder()
+			handler.ServeHTTP(whole, r)
+			a.WriteHeader(whole.Code)
+			_, _ = a.Write(whole.Body.Bytes())
+		} else {
+			handler.ServeHTTP(a, r)
+			a.WriteHeader(http.StatusOK)
+		}
+		_ = writer.Close()
+	}()
+	select {
+	case status := <-a.status:
+		return &http.Response{StatusCode: status, Header: a.header, Body: body, ProtoMajor: 1, ProtoMinor: 1, Request: r, ContentLength: -1}, nil
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
--- a/internal/entry/longconfig_test.go
+++ b/internal/entry/longconfig_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"sassafrasplank.example/sassafrasplank/internal/common/bubble"
 	"sassafrasplank.example/sassafrasplank/internal/config"
 	"sassafrasplank.example/sassafrasplank/internal/fleet"
@@ -66,3 +68,26 @@
 		}
 	})
 }
+
+// A host sent a long row to all hosts at once, none of which received it before it gave up and began again.
+func TestReadsOfLongRowsFromPeersArrive(t *testing.T) {
+	const changes = 3
+	bubble.Test(t, func(t *testing.T) {
+		g := newLinkedGroup(1)
+		g.startAll(73, 1)
+		time.Sleep(5 * time.Second)
+		for version := int64(2); version < 2+changes; version++ {
+			g.configureAs(t, version, longConfig(version, 300<<10))
+			time.Sleep(4 * time.Second)
+		}
+		var arrived, failed int64
+		for _, h := range g.live() {
+			failed += metrics.GetOrRegisterCounter("table.peerReadsFailed", h.metrics).Count()
+			arrived += metrics.GetOrRegisterHistogram("table.peerReadMicros", h.metrics, nil).Count()
+			h.stop()
+		}
+		if failed > arrived/100 {
+			t.Errorf("%d of %d reads of rows from peers failed, want at most 1 in 100", failed, failed+arrived)
+		}
+	})
+}
--- a/internal/entry/tablecalls_test.go
+++ b/internal/entry/tablecalls_test.go
@@ -307,19 +307,22 @@
 	inner := r.Clone(r.Context())
 	inner.Body = io.NopCloser(bytes.NewReader(body))
 	inner.RequestURI = r.URL.RequestURI()
-	answer := httptest.NewRecorder()
 	if err := clock.Sleep(r.Context(), clock.System{}, delay/2); err != nil {
 		return nil, err
 	}
+	if g.linkRate > 0 {
+		response, err := h.answer(handler, inner, sender)
+		if late := clock.Sleep(r.Context(), clock.System{}, delay/2); late != nil {
+			return nil, late
+		}
+		return response, err
+	}
+	answer := httptest.NewRecorder()
 	handler.ServeHTTP(answer, inner)
 	if err := clock.Sleep(r.Context(), clock.System{}, delay/2); err != nil {
 		return nil, err
 	}
-	response := answer.Result()
-	if g.linkRate > 0 {
-		response.Body = &linkedBody{Reader: answer.Body, ctx: r.Context(), rate: g.linkRate, links: []*link{sender, &h.receives}}
-	}
-	return response, nil
+	return answer.Result(), nil
 }
 
 // callTranslator decodes rows of the tests.
--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -146,6 +146,9 @@
 	// newestRows contains the newest row of each table that a report states. An entry is
 	// missing if it has to be looked for in the reports.
 	newestRows map[string]peerRow
+	// avoidRows maps peers that gave no rows to the end of the time in which others are preferred.
+	avoidRows map[string]time.Time
+	longRows  longRows
 	// listedHosts has the names of the entry hosts in the last host list that are not
 	// leaving.
 	listedHosts map[string]bool
@@ -188,6 +191,7 @@
 	g.members = membership.NewTable(g.Self, params)
 	g.reports = map[string]receivedReport{}
 	g.newestRows = map[string]peerRow{}
+	g.avoidRows = map[string]time.Time{}
 	g.listedHosts = map[string]bool{}
 }
 
--- a/internal/peer/tables.go
+++ b/internal/peer/tables.go
@@ -115,23 +115,23 @@
 	return best, newest
 }
 
-// PeerRows returns the rows of a table that are later than after, read from the peer
-// that reported the newest row.
+// PeerRows returns the rows of a table that are later than after, read from a peer that reported
+// the newest row, see rowSource. It returns platform.ErrPeerBusy if that peer sends rows to others now.
 func (g *Group) PeerRows(ctx context.Context, table string, after platform.Position) (platform.Page, error) {
-	g.mu.Lock()
-	best, _ := g.newestPeer(table)
-	g.mu.Unlock()
-	if best.URL == "" {
-		return platform.Page{}, errors.New("no live peer has reported a version of the table")
+	best, found := g.rowSource(table, after)
+	if !found {
+		return platform.Page{}, errors.New("no live peer has reported later rows of the table")
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sentAt := g.steadyNow()
 	response, err := wire.NewPeerProtobufClient(best.URL, g.client).Rows(ctx, &wire.RowsRequest{Table: table, After: after.Version, Era: after.Era})
 	if err != nil {
-		g.mu.Lock()
-		delete(g.newestRows, table) // Others may have reported the same row.
-		g.mu.Unlock()
+		g.gaveNoRows(best.Name)
+		var refusal twirp.Error
+		if errors.As(err, &refusal) && refusal.Code() == twirp.ResourceExhausted {
+			err = platform.ErrPeerBusy
+		}
 		return platform.Page{}, fmt.Errorf("reading rows from peer %s: %w", best.Name, err)
 	}
 	page := platform.Page{Version: response.Version, Era: response.Era, Whole: response.Whole}
@@ -183,7 +183,7 @@
 }
 
 // Rows returns rows of a table from this host's copy.
-func (s *server) Rows(_ context.Context, request *wire.RowsRequest) (*wire.RowsResponse, error) {
+func (s *server) Rows(ctx context.Context, request *wire.RowsRequest) (*wire.RowsResponse, error) {
 	if s.group.Tables == nil {
 		return nil, twirp.NewError(twirp.Unimplemented, "this host follows no tables")
 	}
@@ -191,6 +191,9 @@
 	if !ok {
 		return nil, twirp.NotFoundError("this host does not follow, or has not yet read, the table " + request.Table)
 	}
+	if rowsBytes(page.Rows) > longRowsBytes && !takeLongAnswer(ctx) {
+		return nil, twirp.NewError(twirp.ResourceExhausted, "this host sends rows to other hosts now")
+	}
 	response := &wire.RowsResponse{Version: page.Version, Era: page.Era, Whole: page.Whole}
 	if !page.CompleteAt.IsZero() {
 		response.AgeMillis = encodeAge(s.group.steadyNow().Sub(page.CompleteAt))
--- a/internal/peer/undecodable.go
+++ b/internal/peer/undecodable.go
@@ -21,9 +21,9 @@
 func (g *Group) Handler() http.Handler {
 	hooks := &twirp.ServerHooks{Error: g.logUndecodable}
 	calls := http.MaxBytesHandler(wire.NewPeerServer(&server{group: g}, twirp.WithServerHooks(hooks)), MaxMessageBytes)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return g.longRows.handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		calls.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), callKey{}, r)))
-	})
+	}))
 }
 
 // logUndecodable logs a message that can't be decoded, or a call that is unknown.
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -35,6 +36,9 @@
 		return
 	}
 	page, err := f.Relay.PeerRows(ctx, f.Table, from)
+	if errors.Is(err, ErrPeerBusy) {
+		return // Usual after each long row.
+	}
 	if err != nil {
 		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("era", newest.Era).
 			Dur("behind", f.Clock.Now().Sub(aheadSince)).Dur("sinceAnswer", f.Clock.Now().Sub(answeredAt)).Err(err).
--- a/internal/platform/row.go
+++ b/internal/platform/row.go
@@ -154,6 +154,9 @@
 // after the given version.
 var ErrHistoryGone = errors.New("history of changes has been discarded")
 
+// ErrPeerBusy is returned by a peer that has rows but sends others to as many hosts as it may now.
+var ErrPeerBusy = errors.New("peer is busy sending rows")
+
 // ErrNotFound is returned when an object does not exist.
 var ErrNotFound = errors.New("not found")
 
