Ask peers for the rows after the position up to which a copy is complete

Cause: a table of several pages is read at several moments. A row of a later page may be newer than the position of the first one; the copy then counted as complete up to that row, and a host that reads from peers never asked for a row of an earlier page that had changed between the two. Class: the newest row of a copy is taken for the position up to which it is complete.

Change: a host asks for the rows after the position of its copy, reports no later one, and is behind only if a peer has a later row.

Measured: TestChangeBetweenTwoPagesReachesCopy fails before (row a stays old) and passes; tests of platform, peer, entry pass.

--- a/internal/peer/group.go
+++ b/internal/peer/group.go
@@ -102,9 +102,9 @@
 	Clock    clock.Clock
 	// Steady is a monotonic clock that also runs while the host is suspended. It is Clock if it is nil.
 	Steady clock.Clock
-	Log      *log.Logger
-	HTTP     *http.Client
-	Local    LocalProvider
+	Log    *log.Logger
+	HTTP   *http.Client
+	Local  LocalProvider
 	// Pools, Watcher and Records may be nil on hosts whose configuration and list of
 	// targets are stored in the table service.
 	Pools   PoolDecider
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -78,7 +78,7 @@
 	// Steady is a monotonic clock that also runs while the host is suspended, the one of the
 	// client. It is Clock if it is nil.
 	Steady clock.Clock
-	Log   *log.Logger
+	Log    *log.Logger
 	// Apply receives changed rows, or all rows of the table when full is set. Calls
 	// are not concurrent.
 	Apply func(rows []Row, full bool)
@@ -94,11 +94,12 @@
 	rows map[string]Row
 	// removed is the number of removed rows in rows.
 	removed int
-	// newest is the position of the newest change that the copy is known to include. Peers that
-	// know an earlier one ask for the rows after it.
-	newest Position
-	// after is the position from which the feed continues. Its era is that of the copy.
+	// after is the position up to which the copy is complete and from which the feed continues. Its
+	// era is that of the copy.
 	after Position
+	// newest is the position of the newest row. It is later than after if a table was read in several
+	// pages and changed meanwhile; the copy may then lack rows between the two.
+	newest Position
 	// completeAt is the time on Steady up to which the copy includes every change, zero if it isn't
 	// known.
 	completeAt time.Time
@@ -211,7 +212,16 @@
 func (f *Follower) State() CopyState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return CopyState{Position: f.newest, Age: f.age(), AgeKnown: !f.completeAt.IsZero()}
+	return CopyState{Position: f.complete(), Age: f.age(), AgeKnown: !f.completeAt.IsZero()}
+}
+
+// complete returns the position of the newest row up to which the copy is complete, or an equivalent
+// one. Peers that know an earlier one ask for the rows after it. The caller must hold f.mu.
+func (f *Follower) complete() Position {
+	if f.newest.After(f.after) {
+		return f.after
+	}
+	return f.newest
 }
 
 // Confirm records that a complete copy at a position, such as that of a peer, includes every
@@ -291,7 +301,7 @@
 		}
 	}
 	f.raiseNewest(newest)
-	f.after.Version = max(f.after.Version, page.Version)
+	f.raiseAfter(page.Version)
 	if !page.More {
 		f.completeMillis = max(f.completeMillis, page.ClockMillis)
 		f.raiseCompleteAt(page.CompleteAt)
@@ -422,16 +432,22 @@
 		newest = at
 	}
 	f.raiseNewest(newest)
-	f.after = at
+	f.after, f.aheadSince = at, time.Time{}
 	f.loaded = true
 	f.Apply(listed, true)
 }
 
-// raiseNewest records that the copy includes all changes up to a position. The caller must
-// hold f.mu.
+// raiseNewest records that there is a row at a position. The caller must hold f.mu.
 func (f *Follower) raiseNewest(to Position) {
 	if to.After(f.newest) {
-		f.newest, f.aheadSince = to, time.Time{}
+		f.newest = to
+	}
+}
+
+// raiseAfter records that the copy is complete up to a version of its era. The caller must hold f.mu.
+func (f *Follower) raiseAfter(version int64) {
+	if version > f.after.Version {
+		f.after.Version, f.aheadSince = version, time.Time{}
 	}
 }
 
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -653,3 +654,60 @@
 func (noRelay) PeerRows(context.Context, string, platform.Position) (platform.Page, error) {
 	return platform.Page{}, errUnavailable
 }
+
+// A row that changed between two pages of the first read must reach a host that gets all changes from peers.
+func TestChangeBetweenTwoPagesReachesCopy(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		feed, known := &pagedFeed{fakeFeed: fakeFeed{rows: map[string]platform.Row{}}}, &tableCopy{}
+		for _, key := range []string{"a", "b", "c"} {
+			feed.put(key, "1")
+		}
+		f := &platform.Follower{
+			Client: feed, Relay: feed, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply,
+			ReadsService: func() bool { return false },
+			Log:          &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		}
+		ctx, end := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- f.Run(ctx) }()
+		time.Sleep(2 * time.Second)
+		if diff := cmp.Diff("a=2 b=1 c=2 ", known.text()); diff != "" {
+			t.Errorf("copy (-want +got):\n%s", diff)
+		}
+		if got := f.State().Position; got.Version != 5 {
+			t.Errorf("the copy is complete up to version %d, want 5", got.Version)
+		}
+		end()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// pagedFeed is a fakeFeed whose table is read in two pages, between which the rows a and c change. Peers know
+// the changes from then on.
+type pagedFeed struct {
+	fakeFeed
+
+	read atomic.Bool
+}
+
+func (f *pagedFeed) Page(ctx context.Context, s platform.Scan) (platform.Page, error) {
+	if s.After != "" {
+		f.put("a", "2")
+		f.put("c", "2")
+		f.read.Store(true)
+	}
+	page, err := f.fakeFeed.Page(ctx, s)
+	page.Rows = slices.DeleteFunc(page.Rows, func(row platform.Row) bool { return (row.Key == "c") != (s.After != "") })
+	slices.SortFunc(page.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	page.More = s.After == ""
+	return page, err
+}
+
+func (f *pagedFeed) NewestPeerPosition(table string) platform.Position {
+	if !f.read.Load() {
+		return platform.Position{}
+	}
+	return f.fakeFeed.NewestPeerPosition(table)
+}
--- a/internal/platform/relay.go
+++ b/internal/platform/relay.go
@@ -20,10 +20,8 @@
 	ahead := f.Relay.NewestPeerPosition(f.Table)
 	now := f.Clock.Now()
 	f.mu.Lock()
-	newest, loaded := f.newest, f.loaded
-	newest.Era = f.after.Era
-	from := Position{Era: newest.Era, Version: max(newest.Version, f.completeSince)}
-	if !ahead.After(newest) {
+	from, loaded := f.after, f.loaded
+	if !ahead.After(from) {
 		f.aheadSince = time.Time{}
 	} else if f.aheadSince.IsZero() {
 		f.aheadSince = now
@@ -40,12 +38,12 @@
 		return // Usual after each long row.
 	}
 	if err != nil {
-		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("era", newest.Era).
+		f.Log.Warn().Str("part", "follower").Str("table", f.Table).Int64("after", from.Version).Int64("era", from.Era).
 			Dur("behind", f.Clock.Now().Sub(aheadSince)).Dur("sinceAnswer", f.Clock.Now().Sub(answeredAt)).Err(err).
 			Msg("follower: reading rows from a peer failed")
 		return
 	}
-	f.Log.Info().Str("part", "follower").Str("table", f.Table).Int64("newest", newest.Version).Int64("ahead", ahead.Version).
+	f.Log.Info().Str("part", "follower").Str("table", f.Table).Int64("after", from.Version).Int64("ahead", ahead.Version).
 		Int64("era", ahead.Era).Int("rows", len(page.Rows)).Bool("whole", page.Whole).
 		Dur("behind", f.Clock.Now().Sub(aheadSince)).Dur("sinceAnswer", f.Clock.Now().Sub(answeredAt)).Msg("follower: received rows from a peer")
 	// The copy then includes the changes that peers have reported, as far as this peer has them.
@@ -61,12 +59,12 @@
 	f.merge(page, included)
 }
 
-// Newest returns the position of the newest known row, or the zero position before the
-// first one.
+// Newest returns the position of the newest row up to which the copy is complete, or an equivalent
+// one. It is the zero position before the first row.
 func (f *Follower) Newest() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.newest
+	return f.complete()
 }
 
 // RowsAfter returns the known rows that are later than after. It returns the complete copy if
