Deflate long rows between hosts

Cause: a configuration of 1,450 routes has 300 KB, a quarter of a second on a link of 10 Mbit/s, for each host that a peer sends it to.

Change: a row above 4 KiB is deflated once for all hosts that ask for it (RowsRequest.deflate, RowsResponse.deflated_rows); hosts of earlier builds get it as before.

--- a/internal/entry/longconfig_test.go
+++ b/internal/entry/longconfig_test.go
@@ -25,9 +25,15 @@
 	return g
 }
 
-// longConfig returns a configuration of some size in bytes.
+// longConfig returns a configuration of some size in bytes, of routes with random names.
 func longConfig(version int64, size int) string {
-	return fmt.Sprintf(`{"Version":%d,"Unused":%q}`, version, strings.Repeat("x", size))
+	rng := rand.New(rand.NewPCG(uint64(version), 2))
+	var routes strings.Builder
+	for routes.Len() < size {
+		fmt.Fprintf(&routes, `{"name":"r-%x","host":"h%d.example","prefix":"/%x/","kind":"stream","timeoutMillis":12000,"goalMillis":500,`+
+			`"service":"s%x","attempts":2,"public":false,"resumable":true},`, rng.Uint32(), rng.IntN(100), rng.Uint64(), rng.IntN(4))
+	}
+	return fmt.Sprintf(`{"Version":%d,"Unused":[%snull]}`, version, routes.String())
 }
 
 // Hosts that all read a long configuration from the same few peers got it after the time in which it has to be in force.
--- a/internal/peer/longrows.go
+++ b/internal/peer/longrows.go
@@ -20,10 +20,12 @@
 	avoidRowsFor = 500 * time.Millisecond
 )
 
-// longRows counts the long answers that a host is sending.
+// longRows counts the long answers that a host is sending, and keeps its deflated rows.
 type longRows struct {
 	mu   sync.Mutex
 	sent int
+	// deflated are the latest long rows as sent to other hosts.
+	deflated map[rowKey]deflatedRow
 }
 
 // longAnswer is the long answer that a call may need, until the call ends.
@@ -68,14 +70,6 @@
 	a.rows.sent--
 }
 
-// rowsBytes returns the size of rows without their keys.
-func rowsBytes(rows []platform.Row) (n int) {
-	for i := range rows {
-		n += len(rows[i].Value)
-	}
-	return n
-}
-
 // rowSource returns the live peer from which rows of a table later than after are read, and false if no peer has
 // reported any: one of those with the newest row, at random, so that hosts don't all ask the same one. Peers
 // that gave no rows lately come last.
--- a/internal/peer/tables.go
+++ b/internal/peer/tables.go
@@ -125,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sentAt := g.steadyNow()
-	response, err := wire.NewPeerProtobufClient(best.URL, g.client).Rows(ctx, &wire.RowsRequest{Table: table, After: after.Version, Era: after.Era})
+	response, err := wire.NewPeerProtobufClient(best.URL, g.client).Rows(ctx, &wire.RowsRequest{Table: table, After: after.Version, Era: after.Era, Deflate: true})
 	if err != nil {
 		g.gaveNoRows(best.Name)
 		var refusal twirp.Error
@@ -140,12 +140,8 @@
 		page.CompleteAt = sentAt.Add(-age)
 	}
 	g.logUnusable(&best, unusable.err())
-	for _, data := range response.Rows {
-		row, err := decodeRow(data)
-		if err != nil {
-			return platform.Page{}, fmt.Errorf("decoding a row from peer %s: %w", best.Name, err)
-		}
-		page.Rows = append(page.Rows, row)
+	if page.Rows, err = decodeRows(response); err != nil {
+		return platform.Page{}, fmt.Errorf("decoding a row from peer %s: %w", best.Name, err)
 	}
 	return page, nil
 }
@@ -191,19 +187,15 @@
 	if !ok {
 		return nil, twirp.NotFoundError("this host does not follow, or has not yet read, the table " + request.Table)
 	}
-	if rowsBytes(page.Rows) > longRowsBytes && !takeLongAnswer(ctx) {
+	response := &wire.RowsResponse{Version: page.Version, Era: page.Era, Whole: page.Whole}
+	if err := s.group.longRows.encode(response, page.Rows, request.Deflate); err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	if proto.Size(response) > longRowsBytes && !takeLongAnswer(ctx) {
 		return nil, twirp.NewError(twirp.ResourceExhausted, "this host sends rows to other hosts now")
 	}
-	response := &wire.RowsResponse{Version: page.Version, Era: page.Era, Whole: page.Whole}
 	if !page.CompleteAt.IsZero() {
 		response.AgeMillis = encodeAge(s.group.steadyNow().Sub(page.CompleteAt))
 	}
-	for _, row := range page.Rows {
-		data, err := encodeRow(row)
-		if err != nil {
-			return nil, twirp.InternalErrorWith(err)
-		}
-		response.Rows = append(response.Rows, data)
-	}
 	return response, nil
 }
