Give up an answer with rows when it stops arriving, not while it arrives

Cause: the limit of a call to the table service or to a peer held for its whole answer. A host whose link carries 10 Mbit/s, shared with its callers' streams, gave up after 1 to 2.5 s and began the same answer again. Class: a retry that can never succeed, as each one has the same limit.

Change: package stall. A call ends if its answer doesn't begin, or if no part of it arrives, in the time that limited all of it before, and in any case after 10 s (4 s for a peer).

Measured: TestConfigurationThatArrivesSlowlyIsRead (4 MB): before, no host had read it after 15 s; now all have, and one that starts then.

--- a/internal/entry/longconfig_test.go
+++ b/internal/entry/longconfig_test.go
@@ -54,6 +54,26 @@
 	})
 }
 
+// A configuration that takes longer to arrive than a call may wait for its answer was never read by any host.
+func TestConfigurationThatArrivesSlowlyIsRead(t *testing.T) {
+	const size = 4 << 20
+	bubble.Test(t, func(t *testing.T) {
+		g := newLinkedGroup(1)
+		g.startAll(16, 1)
+		time.Sleep(5 * time.Second)
+		g.table.put(operatorTable, "config", longConfig(2, size))
+		time.Sleep(15 * time.Second)
+		g.start(16, 1)
+		time.Sleep(10 * time.Second)
+		for _, h := range g.live() {
+			if cfg := h.gateway.Routes(); cfg == nil || cfg.Version < 2 {
+				t.Errorf("%s has not read the configuration", h.Config.Host)
+			}
+			h.stop()
+		}
+	})
+}
+
 // A host to which no peer sent its rows heard of reads of the table service all the time, and never read it itself.
 func TestHostWithoutRowsOfPeersReadsTableService(t *testing.T) {
 	within := config.DefaultRouted().Table.ChangeWithin.Duration
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"sassafrasplank.example/sassafrasplank/internal/common/stall"
 )
 
 // MaxMessageBytes limits the body of one message from a peer. The longest contains the
@@ -19,21 +21,22 @@
 func (t limitedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.base.RoundTrip(r)
 	if err == nil {
-		response.Body = &limitedBody{ReadCloser: response.Body, left: MaxMessageBytes}
+		response.Body = &limitedBody{Reader: stall.Reader(r.Context(), response.Body), Closer: response.Body, left: MaxMessageBytes}
 	}
 	return response, err
 }
 
 // limitedBody is a body that fails after a number of bytes.
 type limitedBody struct {
-	io.ReadCloser
+	io.Reader
+	io.Closer
 
 	left int
 }
 
 // Read reads from the body. It fails once more bytes have come than are allowed.
 func (b *limitedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
+	n, err := b.Reader.Read(p)
 	if b.left -= n; b.left < 0 {
 		return 0, fmt.Errorf("message from a peer is longer than %d bytes", MaxMessageBytes)
 	}
--- a/internal/peer/longrows.go
+++ b/internal/peer/longrows.go
@@ -16,6 +16,8 @@
 	// maxLongRows is the number of long answers that a host sends at the same time. All hosts want a new row
 	// at the same moment; with more answers on one link, none would arrive before its caller gives up.
 	maxLongRows = 2
+	// longestRows limits the time in which rows arrive from a peer. Meanwhile this host may read the table service.
+	longestRows = 4 * time.Second
 	// avoidRowsFor is how long no rows are read from a peer that gave none, if another one has them.
 	avoidRowsFor = 500 * time.Millisecond
 )
--- a/internal/peer/tables.go
+++ b/internal/peer/tables.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasplank.example/sassafrasplank/internal/common/stall"
 	"sassafrasplank.example/sassafrasplank/internal/membership"
 	"sassafrasplank.example/sassafrasplank/internal/peer/wire"
 	"sassafrasplank.example/sassafrasplank/internal/platform"
@@ -122,8 +123,8 @@
 	if !found {
 		return platform.Page{}, errors.New("no live peer has reported later rows of the table")
 	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
+	ctx, timer := stall.Context(ctx, exchangeTimeout, exchangeTimeout, longestRows)
+	defer timer.Stop()
 	sentAt := g.steadyNow()
 	response, err := wire.NewPeerProtobufClient(best.URL, g.client).Rows(ctx, &wire.RowsRequest{Table: table, After: after.Version, Era: after.Era, Deflate: true})
 	if err != nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -16,11 +16,16 @@
 	"golang.org/x/time/rate"
 
 	"sassafrasplank.example/sassafrasplank/internal/common/clock"
+	"sassafrasplank.example/sassafrasplank/internal/common/stall"
 )
 
 // maxAnswerBytes limits how much of an answer is read.
 const maxAnswerBytes = 16 << 20
 
+// longestAnswer limits the time in which an answer with rows arrives. Each part of it has to arrive
+// within Client.Timeout.
+const longestAnswer = 10 * time.Second
+
 // maxDrainBytes limits how much is read of the rest of an answer, so that its connection
 // can be used again. A longer rest closes the connection.
 const maxDrainBytes = 4 << 10
@@ -282,8 +287,8 @@
 	}
 	c.readCount.Add(1)
 	c.countCall(table, kind)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, timer := stall.Context(ctx, timeout, c.Timeout, longestAnswer)
+	defer timer.Stop()
 	var sentAt time.Time
 	if c.Steady != nil {
 		sentAt = c.Steady.Now()
@@ -295,7 +300,7 @@
 	}
 	defer drain(response)
 	era := c.observeEra(response)
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(stall.Reader(ctx, response.Body), maxAnswerBytes))
 	if err != nil {
 		c.tableDone(false)
 		return Page{}, fmt.Errorf("%w: reading the answer: %w", ErrUnavailable, err)
