Count a contact of serve once its changes have been read

Cause: a host that loads its records counted its contact with the table service before it had read the changes up to it, also if that read failed. Peers that were cut off took their older records for recent by that contact. Class: an age that travels without the position to which it belongs.

Change: the contact counts after the changes have been applied.

--- a/internal/recordstore/follower.go
+++ b/internal/recordstore/follower.go
@@ -195,8 +195,12 @@
 			return err
 		}
 	}
+	if err := f.applyHistory(ctx); err != nil {
+		return err
+	}
+	// Peers take their records for recent by this contact, so the records up to it have to be known.
 	f.recordContact(at)
-	return f.applyHistory(ctx)
+	return nil
 }
 
 // loadAllRecords reads every record. Some records may be newer than the revision;
