--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -267,6 +267,12 @@
 			h.builds.ApplyRows(rows, full)
 		},
 	}
+	h.gateway.ConfigAge = func() (time.Duration, bool) {
+		// Without the clock of the service, the end of a call that waited for a change is no news.
+		_, _, clockKnown := h.table.ServiceMillis(h.Steady.Now())
+		state := operators.State()
+		return state.Age, state.AgeKnown && clockKnown
+	}
 	// A host that reads the configuration from the service also reads the other tables.
 	h.group.Contact = operators
 	h.group.Readers, h.group.AskReaderAfter = table.Readers, time.Duration(askShare*float64(h.Config.ContactMaxAge()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,9 @@
 	Lister StoreLister
 	// Requested contains the weight versions that operators request.
 	Requested *rollout.RequestedVersions
+	// ConfigAge returns the time since the time up to which this host knows of every configuration,
+	// and false if that isn't known. If it is nil, it never is.
+	ConfigAge func() (time.Duration, bool)
 	// HostCount returns the number of live entry hosts. If it is nil, few hosts are
 	// assumed.
 	HostCount func() int
