--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -68,13 +68,18 @@
 
 // newSiteWithout starts the store only, with routes to the plain service.
 func newSiteWithout(routes []map[string]any) (*site, error) {
-	return newSiteOf(map[string]any{
+	return newSiteOf(plainConfig(routes))
+}
+
+// plainConfig returns a configuration with routes to the plain service.
+func plainConfig(routes []map[string]any) map[string]any {
+	return map[string]any{
 		"version":  7,
 		"routes":   routes,
 		"services": []any{map[string]any{"name": service, "health_path": "/healthz", "max_conns": 110, "proto": "h1", "tls": false}},
 		"limits":   limits(),
 		"tenants":  tenants(),
-	})
+	}
 }
 
 func limits() map[string]any {
@@ -155,7 +160,7 @@
 
 func main() {
 	runtime.LockOSThread() // The hosts end with the thread that has started them.
-	cases := map[string]func(trouble bool) (*site, int, error){"paths": paths, "bookings": bookings, "lookups": lookups, "models": models, "parts": parts}
+	cases := map[string]func(trouble bool) (*site, int, error){"paths": paths, "bookings": bookings, "lookups": lookups, "keys": keys, "parts": parts}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, errUsage)
 		os.Exit(failed)
--- a/review/_standin2/paths.go
+++ b/review/_standin2/paths.go
@@ -31,7 +31,7 @@
 		requests[id] = q
 		h := s.hosts[i%len(s.hosts)]
 		s.record.printf("request %s to %s: %s %s", id, h.name, q.method, q.target)
-		status, body, err := ask(h.front, id, q.method, q.target, q.body)
+		status, body, err := ask(h.front, key, id, q.method, q.target, q.body)
 		if err != nil {
 			s.record.printf("request %s: no answer: %v", id, err)
 			continue
@@ -55,7 +55,7 @@
 }
 
 // ask sends one request over a connection of its own, with the target exactly as given.
-func ask(address, id, method, target, body string) (status int, answer string, err error) {
+func ask(address, k, id, method, target, body string) (status int, answer string, err error) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return 0, "", err
@@ -63,7 +63,7 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
 	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1000\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
-		method, target, clientHost, id, key, len(body), body)
+		method, target, clientHost, id, k, len(body), body)
 	if err != nil {
 		return 0, "", err
 	}
