Show that unknown names of models take memory until bookings are lost

Cause: the host keeps an entry for each name of a model that a client sends, for as long as it runs.

Clients of each host name another model with each request, within the limits; others book over kept connections; the stand-in of the platform ends a process that takes more than the 134 MB of its machine.

--- a/review/_standin2/client.go
+++ b/review/_standin2/client.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -57,3 +60,25 @@
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
+
+// ask sends one request over a connection of its own, with the target exactly as given.
+func ask(address, k, id, method, target, body string) (status int, answer string, err error) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 1000\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n\r\n%s",
+		method, target, clientHost, id, k, len(body), body)
+	if err != nil {
+		return 0, "", err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -160,7 +160,7 @@
 
 func main() {
 	runtime.LockOSThread() // The hosts end with the thread that has started them.
-	cases := map[string]func(trouble bool) (*site, int, error){"paths": paths, "bookings": bookings, "lookups": lookups, "keys": keys, "parts": parts}
+	cases := map[string]func(trouble bool) (*site, int, error){"bookings": bookings, "lookups": lookups, "keys": keys, "models": models, "parts": parts}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, errUsage)
 		os.Exit(failed)
--- a/review/_standin2/memory.go
+++ b/review/_standin2/memory.go
@@ -39,14 +39,20 @@
 	return s, held, nil
 }
 
-// deadline passes at a time, or once processes on all machines have ended endsBroken times.
+// deadline passes at a time, or once processes on some machines have ended often enough.
 type deadline struct {
-	at       time.Time
-	machines int
-	broken   atomic.Int64
+	at time.Time
+	// machines is the number of machines, and ends how often a process has to end on each.
+	machines, ends int
+	broken         atomic.Int64
 }
 
-func (d *deadline) broke() { d.broken.Add(1) }
+// ended records how often the process of a machine has ended.
+func (d *deadline) ended(ends int) {
+	if ends == d.ends {
+		d.broken.Add(1)
+	}
+}
 
 func (d *deadline) passed() bool {
 	return int(d.broken.Load()) >= d.machines || !time.Now().Before(d.at)
@@ -70,12 +76,10 @@
 			continue
 		}
 		ends++
-		if ends == endsBroken {
-			end.broke()
-		}
 		s.note("host %s: %d requests sent, its process takes %d MB of %d MB and is ended", h.name, sent.Load(), anonymous/1e6, consortiumRAM)
 		h.kill()
 		time.Sleep(restartDelay)
+		end.ended(ends)
 		if err := h.start(s.log); err != nil {
 			s.note("host %s: %v", h.name, err)
 			return ends
--- a/review/_standin2/parts.go
+++ b/review/_standin2/parts.go
@@ -47,7 +47,7 @@
 		prefix = manyParts()
 	}
 	s.record.printf("%d clients of each host send prompts of %d parts, a list of %d bytes", partClients, 1+strings.Count(prefix, ","), len(prefix))
-	end := &deadline{at: time.Now().Add(partsFor), machines: len(s.hosts)}
+	end := &deadline{at: time.Now().Add(partsFor), machines: len(s.hosts), ends: endsBroken}
 	ends := make([]int, len(s.hosts))
 	sent := make([]atomic.Int64, len(s.hosts))
 	var clients sync.WaitGroup
