Read the writes in vain of a test once its hosts have ended

Cause: TestManyHostsTakeLeaseInTurn read the number of writes in vain while its hosts still ran. Change: the test ends its hosts first. Its bound stays as it is.

--- a/internal/rollout/leader_test.go
+++ b/internal/rollout/leader_test.go
@@ -415,12 +415,12 @@
 		if next := leaseHolder(row); next == first || next == "" {
 			t.Errorf("holder %q after that of %q was cut off, want another one", next, first)
 		}
+		end()
+		running.Wait()
 		if row.conflicts > 4 {
 			t.Errorf("%d writes of the lease in vain, want at most 4", row.conflicts)
 		}
 		t.Logf("%d writes in vain", row.conflicts)
-		end()
-		running.Wait()
 	})
 }
 
