Require keys after the last client account is taken away

Cause: keys were required if the list of accounts had entries, and the decoder made the same of an absent list, an empty one and null. The log line "config: in force" has keysRequired now: it was false on both hosts 4 s before the requests, which rules out a configuration not in force.

--- a/internal/common/jsonc/document.go
+++ b/internal/common/jsonc/document.go
@@ -73,6 +73,14 @@
 	return d.PlaceAt(d.root.StartOffset)
 }
 
+// Offset returns the offset of the value at a JSON pointer, or of the document if there is none.
+func (d *Document) Offset(pointer string) int {
+	if v := d.root.Find(pointer); v != nil {
+		return v.StartOffset
+	}
+	return d.root.StartOffset
+}
+
 // PlaceOfValue returns the position of the value that ends at an offset, as errors of encoding/json state it,
 // or that of the byte before if no value does.
 func (d *Document) PlaceOfValue(end int) finding.Place {
--- a/internal/configcheck/issues_test.go
+++ b/internal/configcheck/issues_test.go
@@ -144,6 +144,41 @@
 	}
 }
 
+// Guards against a configuration that opens or closes all private routes and passes the check.
+func TestRequiredKeys(t *testing.T) {
+	private := []routing.Route{{Name: "one"}, {Name: "two"}, {Name: "open", Public: true}}
+	one := routing.Config{Routes: private, Accounts: []routing.Account{{Name: "one", Keys: []string{"k"}}}}
+	none, withoutKeys := routing.Config{Routes: private}, routing.Config{Routes: private, Accounts: []routing.Account{{Name: "one"}}}
+	keyless, public := routing.Config{Routes: private, Keyless: true}, routing.Config{Routes: private[2:], Keyless: true}
+	for name, test := range map[string]struct {
+		inForce, next routing.Config
+		want          string
+	}{
+		"same":                     {one, one, ""},
+		"last account taken away":  {one, none, "no client account with a key is left: requests to private routes (2) get 401"},
+		"last key taken away":      {one, withoutKeys, "no client account with a key is left: requests to private routes (2) get 401"},
+		"list dropped":             {one, keyless, "there is no list of client accounts any more: requests to private routes (2) need no key"},
+		"empty list dropped":       {none, keyless, "there is no list of client accounts any more: requests to private routes (2) need no key"},
+		"only public routes":       {one, public, ""},
+		"still none":               {none, withoutKeys, ""},
+		"still no list":            {keyless, keyless, ""},
+		"first accounts":           {keyless, one, "there was no list of client accounts before: requests to private routes (2) need a key from now on"},
+		"empty list instead of no": {keyless, none, "there was no list of client accounts before: requests to private routes (2) need a key from now on"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			test.inForce.Index()
+			test.next.Index()
+			var want []configcheck.Issue
+			if test.want != "" {
+				want = []configcheck.Issue{{Key: "accounts", Message: test.want}}
+			}
+			if diff := cmp.Diff(want, configcheck.RequiredKeys(&test.inForce, &test.next)); diff != "" {
+				t.Errorf("issues (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against a configuration that hosts would ignore for its version, and that passes the check.
 func TestRouteVersion(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/configcheck/routes.go
+++ b/internal/configcheck/routes.go
@@ -59,6 +59,34 @@
 	return []Issue{{Key: KeyVersion, Message: fmt.Sprintf("hosts keep version %d in force, since version %d is not above it", inForce.Version, next.Version)}}
 }
 
+// KeyAccounts is the key of the list of client accounts of a configuration of routes.
+const KeyAccounts = "accounts"
+
+// RequiredKeys returns an issue if the next configuration opens or closes all private routes: it has no list of
+// client accounts any more, takes the last key away, or requires keys for the first time.
+func RequiredKeys(inForce, next *routing.Config) []Issue {
+	private := 0
+	for i := range next.Routes {
+		if !next.Routes[i].Public {
+			private++
+		}
+	}
+	format := ""
+	switch {
+	case private == 0:
+		return nil
+	case inForce.NeedsKeys() && !next.NeedsKeys():
+		format = "there is no list of client accounts any more: requests to private routes (%d) need no key"
+	case inForce.HasKeys() && next.NeedsKeys() && !next.HasKeys():
+		format = "no client account with a key is left: requests to private routes (%d) get 401"
+	case !inForce.NeedsKeys() && next.NeedsKeys():
+		format = "there was no list of client accounts before: requests to private routes (%d) need a key from now on"
+	default:
+		return nil
+	}
+	return []Issue{{Key: KeyAccounts, Message: fmt.Sprintf(format, private)}}
+}
+
 type routeCheck struct {
 	cfg *routing.Config
 	// used contains the services to which routes lead.
--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -162,6 +162,7 @@
 	incarnation := h.Clock.Now().UnixNano()
 	h.metrics = metrics.NewRegistry()
 	metrics.NewRegisteredFunctionalGauge("process.cpuMicros", h.metrics, processorMicros)
+	metrics.NewRegisteredFunctionalGauge("config.keysRequired", h.metrics, h.keysRequired)
 	h.readsAlone = metrics.NewRegisteredCounter("table.readsAlone", h.metrics)
 	registerBudgets(h.metrics, h.Budgets)
 	h.table = &platform.Client{
@@ -421,7 +422,8 @@
 			times := h.rowTimes(row)
 			h.Log.Info().Str("part", "config").Int64("version", c.Version).Int64("rowVersion", row.Version).
 				Dur("sinceSeen", times.SinceSeen).Dur("sinceWritten", times.SinceWritten).Int("bytes", len(row.Value)).
-				Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).Str("sharedCache", c.Cache("")).Msg("config: in force")
+				Int("routes", len(c.Routes)).Int("accounts", len(c.Accounts)).
+				Bool("keysRequired", c.NeedsKeys()).Str("sharedCache", c.Cache("")).Msg("config: in force")
 		}
 		model, version, err := h.Translator.Version(row)
 		if err != nil {
@@ -440,12 +442,29 @@
 	if earlier != nil && earlier.Version >= c.Version {
 		return false
 	}
+	if earlier != nil && earlier.NeedsKeys() && !c.NeedsKeys() {
+		h.Log.Warn().Str("part", "config").Int64("version", c.Version).Int64("earlierVersion", earlier.Version).
+			Msg("config: there is no list of client accounts any more; requests to private routes need no key")
+	}
 	// Streams that began by the earlier configuration are resumed from now on.
 	h.builds.SetLongestTimeout(c.LongestResumableTimeout())
 	h.builds.SetRelated(c.RelatedServices(earlier))
 	return h.gateway.SetRoutes(c)
 }
 
+// keysRequired returns 1 if requests to private routes need a key, 0 if they don't, and -1 while the
+// host has no configuration.
+func (h *RoutedHost) keysRequired() int64 {
+	switch cfg := h.gateway.Routes(); {
+	case cfg == nil:
+		return -1
+	case cfg.NeedsKeys():
+		return 1
+	default:
+		return 0
+	}
+}
+
 // requestVersion records a requested weight version. tableRead tells whether the row was
 // found on reading the complete table. The time of the request is then unknown, unless this
 // host has followed the table before or finds it in the shared table.
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -205,7 +205,10 @@
 	Routes   []Route
 	Services map[string]Service
 	Accounts []Account
-	Limits   CallerLimits
+	// Keyless is set if requests need no key, since the configuration has no list of client
+	// accounts. A list without entries doesn't set it: then no key is valid.
+	Keyless bool
+	Limits  CallerLimits
 
 	byHost map[string][]*Route
 	byKey  map[string]*Account
@@ -247,6 +250,12 @@
 // Account returns the client account of a key, or nil.
 func (c *Config) Account(key string) *Account { return c.byKey[key] }
 
-// NeedsKeys reports whether requests to routes that aren't public need a key. They
-// don't if no client accounts are configured.
-func (c *Config) NeedsKeys() bool { return len(c.Accounts) > 0 }
+// HasKeys reports whether any client account has a key.
+func (c *Config) HasKeys() bool { return len(c.byKey) > 0 }
+
+// NeedsKeys reports whether requests to routes that aren't public need a key. They do in any case if there
+// are client accounts.
+func (c *Config) NeedsKeys() bool { return !c.Keyless || len(c.Accounts) > 0 }
+
+// NeedsKey reports whether requests to a route need a key.
+func (c *Config) NeedsKey(r *Route) bool { return !r.Public && c.NeedsKeys() }
