Keep the account of a relayed request

Callers could see: a request that a host relays to one whose configuration has no list of accounts, or to a public route, ran there without its account. Cause: the account was looked up only if that host needed keys.

--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -212,6 +212,7 @@
 
 	byHost map[string][]*Route
 	byKey  map[string]*Account
+	byName map[string]*Account
 	// sharing contains the accounts that aren't isolated, and sharedCache is their cache.
 	sharing     map[string]bool
 	sharedCache string
@@ -229,9 +230,12 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	c.byKey = make(map[string]*Account)
+	c.byName = make(map[string]*Account)
 	for i := range c.Accounts {
-		for _, key := range c.Accounts[i].Keys {
-			c.byKey[key] = &c.Accounts[i]
+		a := &c.Accounts[i]
+		c.byName[a.Name] = cmp.Or(c.byName[a.Name], a)
+		for _, key := range a.Keys {
+			c.byKey[key] = a
 		}
 	}
 	c.indexCaches()
@@ -250,6 +254,9 @@
 // Account returns the client account of a key, or nil.
 func (c *Config) Account(key string) *Account { return c.byKey[key] }
 
+// AccountNamed returns the client account of a name, or nil. If there are several, it is the first one.
+func (c *Config) AccountNamed(name string) *Account { return c.byName[name] }
+
 // HasKeys reports whether any client account has a key.
 func (c *Config) HasKeys() bool { return len(c.byKey) > 0 }
 
