Let empty keys and nameless client accounts match no request

Callers could see: requests without a key were those of an account with an empty key, and requests of a nameless account ran without one. Cause: the value of an absent header, or of an absent account, is the empty text, which both could be. Change: neither matches a request, and check reports them.

--- a/internal/configcheck/issues_test.go
+++ b/internal/configcheck/issues_test.go
@@ -122,6 +122,13 @@
 			{Key: "account/0", Field: "keys", Message: `key 1 never matches, it is also that of client account "two", which comes later`},
 			{Key: "account/2", Field: "keys", Message: "the client account has no keys, so no request is that of it"},
 		}},
+		"empty key and name": {func(c *routing.Config) {
+			c.Accounts = []routing.Account{{Name: "one", Keys: []string{"", "k1"}}, {Keys: []string{"k1", "k2"}}, {Name: "three", Keys: []string{""}}}
+		}, []configcheck.Issue{
+			{Key: "account/0", Field: "keys", Message: "key 1 never matches, it is empty"},
+			{Key: "account/1", Field: "name", Message: "the client account has no name, so no request is that of it"},
+			{Key: "account/2", Field: "keys", Message: "key 1 never matches, it is empty"},
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := &routing.Config{
--- a/internal/configcheck/routes.go
+++ b/internal/configcheck/routes.go
@@ -27,6 +27,7 @@
 	FieldColdFor   = "coldFor"
 	FieldColdRate  = "coldPerSecond"
 	FieldKeys      = "keys"
+	FieldName      = "name"
 )
 
 // RouteKey returns the key of an entry of a configuration of routes: its kind and its place in the order of
@@ -169,16 +170,27 @@
 func (c *routeCheck) accounts() {
 	owners := map[string]int{}
 	for i := range c.cfg.Accounts {
+		if c.cfg.Accounts[i].Name == "" {
+			continue // Its keys don't hide those of other accounts.
+		}
 		for _, key := range c.cfg.Accounts[i].Keys {
 			owners[key] = i
 		}
 	}
 	for i := range c.cfg.Accounts {
 		a := &c.cfg.Accounts[i]
+		if a.Name == "" {
+			c.add(RouteKey(KindAccount, i), FieldName, "the client account has no name, so no request is that of it")
+			continue
+		}
 		if len(a.Keys) == 0 {
 			c.add(RouteKey(KindAccount, i), FieldKeys, "the client account has no keys, so no request is that of it")
 		}
 		for j, key := range a.Keys {
+			if key == "" {
+				c.add(RouteKey(KindAccount, i), FieldKeys, "key %d never matches, it is empty", j+1)
+				continue
+			}
 			if owner := owners[key]; owner != i {
 				c.add(RouteKey(KindAccount, i), FieldKeys, "key %d never matches, it is also that of client account %q, which comes later", j+1, c.cfg.Accounts[owner].Name)
 			}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -233,11 +233,15 @@
 	c.byName = make(map[string]*Account)
 	for i := range c.Accounts {
 		a := &c.Accounts[i]
+		if a.Name == "" {
+			continue // Its requests couldn't be told from those without an account.
+		}
 		c.byName[a.Name] = cmp.Or(c.byName[a.Name], a)
 		for _, key := range a.Keys {
 			c.byKey[key] = a
 		}
 	}
+	delete(c.byKey, "") // It is what requests without a key have.
 	c.indexCaches()
 }
 
