Give a client account that isn't listed a cache of its own always

Callers could see: the waiting or repeated request of an isolated account read and wrote the shared cache once no account was listed. Cause: Config.Cache took a configuration without accounts for one that doesn't use them, as NeedsKeys did. Change: an account that isn't listed never shares. Evidence: TestRequestOfRemovedAccountSharesNoCache fails before.

--- a/internal/gateway/isolation_test.go
+++ b/internal/gateway/isolation_test.go
@@ -44,3 +44,28 @@
 		t.Errorf("another account: got namespace %q and sources %v, want one that account a has never used", third.namespace, third.fetch)
 	}
 }
+
+// A request whose account was taken away, with all others, read and wrote the cache that others share.
+func TestRequestOfRemovedAccountSharesNoCache(t *testing.T) {
+	for name, next := range map[string]routing.Config{
+		"another is left": {Accounts: []routing.Account{{Name: "b"}}},
+		"none is left":    {},
+		"no list is left": {Keyless: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, s, c := newStoreGateway(t)
+			g.isolate(2, "a")
+			g.applyStoreEvents("s", s, newEvents(7, 5000, storedEvent(sharedNamespace)), c.now)
+			w := storeWork("w1")
+			w.Account = "a"
+			req := g.placementRequest(w)
+			next.Version, next.Services = 3, g.Routes().Services
+			next.Index()
+			g.SetRoutes(&next)
+			at, _ := g.choose(&req, w)
+			if !strings.HasPrefix(at.namespace, "account/a/") || at.fetch != nil {
+				t.Errorf("got namespace %q and sources %v, want that of the account without a source", at.namespace, at.fetch)
+			}
+		})
+	}
+}
--- a/internal/routing/cache.go
+++ b/internal/routing/cache.go
@@ -19,12 +19,11 @@
 
 // Cache returns the name of the cache that a client account uses, which is empty for requests
 // without one. Isolated accounts have a cache of their own, and so have those that the configuration
-// doesn't contain. The others share one, whose name depends on which accounts are isolated: none of
-// these has ever written to it, whenever it became isolated, and no host has to know of earlier
-// configurations.
+// doesn't contain: an earlier one, by which a request was received, may have isolated them. The others
+// share one, whose name depends on which accounts are isolated: none of these has ever written to it,
+// whenever it became isolated, and no host has to know of earlier configurations.
 func (c *Config) Cache(account string) string {
-	shares, known := c.sharing[account]
-	if shares || (!known && (account == "" || len(c.Accounts) == 0)) {
+	if account == "" || c.sharing[account] {
 		return cmp.Or(c.sharedCache, sharedCache)
 	}
 	return accountCaches + account
