Accept bodies up to 4 MiB if no limit is stated

Callers could see: each request with a body got 413 if the configuration didn't state max_body_bytes. Cause: an absent limit was decoded as 0, which means no bodies. Change: absent or null is 4 MiB, 0 still means no bodies.

--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -191,9 +191,15 @@
 	Isolated bool
 }
 
+// DefaultBodyBytes limits the body of a request if the configuration states no limit.
+const DefaultBodyBytes = 4 << 20
+
 // CallerLimits limits the size of requests and the time that callers may take.
 type CallerLimits struct {
-	HeaderBytes   int
+	// HeaderBytes, HeaderTimeout and IdleTimeout are 0 if the configuration states no limit. Then
+	// those of the host hold.
+	HeaderBytes int
+	// BodyBytes is 0 if requests must have no body.
 	BodyBytes     int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
