Send no requests to services with a weight of 0

Callers could see: if all services of a route had a weight of 0, the last one got the requests; a last one with 0 got what rounding left. Cause: Route.Service fell back to the last share, whatever its weight, and an absent weight counted as 0.

--- a/internal/configcheck/routes.go
+++ b/internal/configcheck/routes.go
@@ -137,7 +137,7 @@
 			c.add(key, FieldShares, "service %q is a cache store and serves no requests", share.Service)
 		case service.Engine == nil && r.CarriesPrompts:
 			c.add(key, FieldPrompts, "the route carries prompts, but service %q has no engines", share.Service)
-		case share.Weight <= 0 && len(r.Shares) > 1:
+		case share.Weight <= 0:
 			c.add(key, FieldShares, "service %q gets no requests, its weight is %g", share.Service, share.Weight)
 		}
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -80,6 +80,11 @@
 		r.finish(refusal)
 		return
 	}
+	// Resumed streams go on at the service at which they began, whatever its weight is now.
+	if w.Service == "" {
+		r.finish(failure.Busy(failure.NoTarget, r.retryAfter(), "no service of route %s has a weight above 0", w.Route.Name))
+		return
+	}
 	r.runAttempts(ctx)
 }
 
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -27,7 +27,9 @@
 // Share is the share of a route's requests that go to one service.
 type Share struct {
 	Service string
-	Weight  float64
+	// Weight is relative to that of the other shares of the route. A service with a weight of 0 or
+	// less gets no requests.
+	Weight float64
 }
 
 // Route says how the requests of one host and path prefix are served.
@@ -114,23 +116,26 @@
 	return groups
 }
 
-// Service selects a service by the weights of the shares; at is in [0, 1).
+// Service selects a service by the weights of the shares; at is in [0, 1). It returns an empty name if no
+// share has a weight above 0.
 func (r *Route) Service(at float64) string {
 	total := 0.0
 	for _, share := range r.Shares {
-		total += share.Weight
+		total += max(0, share.Weight)
 	}
 	at *= total
+	selected := ""
 	for _, share := range r.Shares {
+		if share.Weight <= 0 {
+			continue
+		}
+		selected = share.Service // The last one is selected if rounding leaves a rest.
 		if at < share.Weight {
-			return share.Service
+			break
 		}
 		at -= share.Weight
 	}
-	if len(r.Shares) == 0 {
-		return ""
-	}
-	return r.Shares[len(r.Shares)-1].Service
+	return selected
 }
 
 // Engine describes the model engines of a service.
--- a/internal/routing/config_test.go
+++ b/internal/routing/config_test.go
@@ -1,6 +1,10 @@
 package routing_test
 
 import (
+	"maps"
+	"math"
+	"slices"
+	"strconv"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -78,6 +82,34 @@
 	}
 }
 
+// A service with a weight of 0 got requests if its weight was the last one.
+func TestServiceWithoutWeightGetsNoRequests(t *testing.T) {
+	for name, test := range map[string]struct {
+		weights []float64
+		want    []string
+	}{
+		"last":     {[]float64{0.1, 0.2, 0.7, 0}, []string{"0", "1", "2"}},
+		"first":    {[]float64{0, 1}, []string{"1"}},
+		"all":      {[]float64{0, 0}, []string{""}},
+		"only one": {[]float64{0}, []string{""}},
+		"negative": {[]float64{-1, 3}, []string{"1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r routing.Route
+			for i, w := range test.weights {
+				r.Shares = append(r.Shares, routing.Share{Service: strconv.Itoa(i), Weight: w})
+			}
+			got := map[string]bool{}
+			for _, at := range []float64{0, 0.05, 0.25, 0.5, 0.9, math.Nextafter(1, 0)} {
+				got[r.Service(at)] = true
+			}
+			if diff := cmp.Diff(test.want, slices.Sorted(maps.Keys(got))); diff != "" {
+				t.Errorf("services that get requests (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 func TestRelatedServices(t *testing.T) {
 	route := func(prefix string, resumable bool, services ...string) routing.Route {
 		r := routing.Route{Host: "a.example", Prefix: prefix, Kind: routing.Stream, Resumable: resumable}
