Send nothing to cold targets whose stated rate is 0

Callers could see: cold targets of a service with cold_per_s 0 got requests like any other. Cause: 0 counted as not stated.

--- a/internal/configcheck/issues_test.go
+++ b/internal/configcheck/issues_test.go
@@ -115,6 +115,7 @@
 			c.Routes[0].CarriesPrompts = false
 		}, []configcheck.Issue{{Key: "service/store", Message: "the cache store is not used, no service has engines"}}},
 		"cold without rate": {func(c *routing.Config) { c.Services["plain"] = routing.Service{ColdFor: time.Second} }, []configcheck.Issue{{Key: "service/plain", Field: "coldFor", Message: "targets are cold for 1s, but no rate of requests per second to them is stated"}}},
+		"cold and closed":   {func(c *routing.Config) { c.Services["plain"] = routing.Service{ColdFor: time.Second, ColdClosed: true} }, []configcheck.Issue{{Key: "service/plain", Field: "coldPerSecond", Message: "targets are cold for 1s and take no requests meanwhile, the rate is 0"}}},
 		"rate without time": {func(c *routing.Config) { c.Services["plain"] = routing.Service{ColdPerSecond: 14} }, []configcheck.Issue{{Key: "service/plain", Field: "coldPerSecond", Message: "cold targets take 14 requests per second, but targets are cold for 0 s"}}},
 		"keys": {func(c *routing.Config) {
 			c.Accounts = append(c.Accounts, routing.Account{Name: "two", Keys: []string{"k1"}}, routing.Account{Name: "three"})
--- a/internal/configcheck/routes.go
+++ b/internal/configcheck/routes.go
@@ -157,7 +157,10 @@
 		case s.Store == nil && !c.used[name]:
 			c.add(key, "", "no route leads to the service")
 		}
-		if s.ColdFor > 0 && s.ColdPerSecond <= 0 {
+		if s.ColdClosed {
+			c.add(key, FieldColdRate, "targets are cold for %s and take no requests meanwhile, the rate is 0", s.ColdFor)
+		}
+		if s.ColdFor > 0 && !s.LimitsCold() {
 			c.add(key, FieldColdFor, "targets are cold for %s, but no rate of requests per second to them is stated", s.ColdFor)
 		}
 		if s.ColdFor <= 0 && s.ColdPerSecond > 0 {
--- a/internal/gateway/coldtargets.go
+++ b/internal/gateway/coldtargets.go
@@ -68,7 +68,7 @@
 	metrics.NewRegisteredFunctionalGauge("targets.evacuated", g.Metrics, g.evacuatedTargets)
 }
 
-// coldLimit returns what the cold targets of a service take, with a rate of 0 if that isn't stated.
+// coldLimit returns what the cold targets of a service take.
 func (g *Gateway) coldLimit(cfg *routing.Config, service string) warmup.Limit {
 	return warmup.Limit{PerSecond: cfg.Services[service].ColdPerSecond, BurstFactor: g.Config.ColdTargets.BurstFactor, Burst: g.Config.ColdTargets.Burst}
 }
@@ -92,7 +92,7 @@
 func (g *Gateway) applyCold(now time.Time, targets []fleet.Target, cfg *routing.Config) {
 	enabled := false
 	for _, s := range cfg.Services {
-		enabled = enabled || s.ColdPerSecond > 0
+		enabled = enabled || s.LimitsCold()
 	}
 	g.cold.enabled.Store(enabled)
 	for i := range targets {
@@ -103,7 +103,7 @@
 	for _, name := range g.cold.targets.Names() {
 		t, listed := g.Fleet.Find(name)
 		warmAt, _ := g.warmAt(&t)
-		if !listed || !now.Before(warmAt) || cfg.Services[t.Service].ColdPerSecond <= 0 {
+		if !listed || !now.Before(warmAt) || !cfg.Services[t.Service].LimitsCold() {
 			g.endCold(name)
 		}
 	}
@@ -125,11 +125,11 @@
 // setCold records that a target is cold. If the service doesn't state what its cold targets take, the
 // target is used like any other. The lock must be held.
 func (g *Gateway) setCold(now time.Time, cfg *routing.Config, t *fleet.Target, warmAt time.Time, source string) {
-	limit := g.coldLimit(cfg, t.Service)
-	if limit.PerSecond <= 0 {
+	if !cfg.Services[t.Service].LimitsCold() {
 		g.recordUnlimited(t)
 		return
 	}
+	limit := g.coldLimit(cfg, t.Service)
 	began := g.cold.targets.Set(now, t.ID, t.Started, warmAt, limit)
 	g.paceCold(now, t.ID)
 	if began {
@@ -225,7 +225,7 @@
 // for longer. A row of another process ends that.
 func (g *Gateway) presumeCold(t fleet.Target, d time.Duration, source string) {
 	cfg := g.routes.Load()
-	if cfg == nil || d <= 0 || cfg.Services[t.Service].ColdPerSecond <= 0 {
+	if cfg == nil || d <= 0 || !cfg.Services[t.Service].LimitsCold() {
 		return
 	}
 	now := g.Clock.Now()
--- a/internal/gateway/coldtargets_test.go
+++ b/internal/gateway/coldtargets_test.go
@@ -186,6 +186,35 @@
 	})
 }
 
+// Cold targets of a service that states a rate of 0 were used like any other.
+func TestColdTargetsThatTakeNothingGetNoRequests(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		var got arrivals
+		f := newColdFixture(t, got.record(answer(http.StatusOK, "yes")))
+		cfg := *f.Routes()
+		cfg.Version++
+		cfg.Services = maps.Clone(cfg.Services)
+		cfg.Services[docks] = routing.Service{Name: docks, ColdFor: coldFor, ColdClosed: true}
+		cfg.Index()
+		f.SetRoutes(&cfg)
+		f.setCold(time.Now().Add(coldFor), "d1", "d2")
+		if refused := flood([]*fixture{f}, time.Second, routing.NonIdempotent, 1); len(refused) > 0 || got.number("d1")+got.number("d2") > 0 {
+			t.Errorf("%d refusals, %d and %d requests to the cold targets beside a warm one, want none", len(refused), got.number("d1"), got.number("d2"))
+		}
+		f.setCold(time.Now().Add(coldFor), "d3")
+		time.Sleep(time.Millisecond)
+		before := got.number("d3")
+		w := request(routing.NonIdempotent, 1)
+		if s := f.serve(w); s.refused == nil || !s.refused.NotRun || s.refused.RetryAfter <= 0 || got.number("d3") != before {
+			t.Errorf("got refusal %+v, want one as not run with a delay, while all targets are cold", s.refused)
+		}
+		time.Sleep(coldFor + coldInterval)
+		if refused := flood([]*fixture{f}, time.Second, routing.NonIdempotent, 1); len(refused) > 0 || got.number("d1") == 0 {
+			t.Errorf("%d refusals, %d requests to a target that was cold, want none and some", len(refused), got.number("d1"))
+		}
+	})
+}
+
 // coldInterval is longer than the interval at which a gateway looks for targets that are warm.
 const coldInterval = 150 * time.Millisecond
 
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -43,7 +43,7 @@
 			}
 			n++
 			cfg := g.routes.Load()
-			if next[domain] || cfg == nil || cfg.Services[targets[i].Service].ColdPerSecond <= 0 {
+			if next[domain] || cfg == nil || !cfg.Services[targets[i].Service].LimitsCold() {
 				continue
 			}
 			// The rows of targets that are cold may be read after that of the evacuation is removed.
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -177,15 +177,20 @@
 	// is decoded but not enforced.
 	MaxConnections int
 	// ColdFor is how long targets are cold after their start, and ColdPerSecond the number of
-	// requests per second that a cold target takes from all hosts together, 0 for no limit.
+	// requests per second that a cold target takes from all hosts together, 0 if none is stated.
 	ColdFor       time.Duration
 	ColdPerSecond float64
+	// ColdClosed is set if cold targets take no requests, since the stated number is 0.
+	ColdClosed bool
 	// Engine is nil for plain services.
 	Engine *Engine
 	// Store is set for cache stores only.
 	Store *CacheStore
 }
 
+// LimitsCold reports whether the service states how many requests its cold targets take.
+func (s Service) LimitsCold() bool { return s.ColdPerSecond > 0 || s.ColdClosed }
+
 // Account is a client account and its keys.
 type Account struct {
 	Name string
