Run no request whose caller was told that it has not run

Callers could see: 503 with X-Not-Run for a request that ran (shown by a test). Cause: the connection that is closed for a new one was chosen under one lock and closed under another; its request could begin in between. Change: the choice is checked again under the lock that a request needs to begin, and an evicted connection calls no handler. Evidence: TestRequestThatIsRefusedDoesNotRun fails before.

--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -55,7 +55,9 @@
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
-			c.handled.Store(true)
+			if !c.begin() {
+				panic(http.ErrAbortHandler)
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -72,17 +74,12 @@
 			return nil, err
 		}
 		c := &connection{Conn: conn, listener: l, clock: l.Clock, timeouts: l.Timeouts, phase: awaitingHeader, hold: bounded.Hold{Budget: l.Limits.Headers}}
-		closed, ok := l.add(c)
-		if !ok {
+		if !l.add(c) {
 			c.writeRefusal(errConnections)
 			_ = conn.Close()
 			l.exceeded(LimitNewConnections)
 			continue
 		}
-		if closed != nil {
-			closed.evict()
-			l.exceeded(LimitConnections)
-		}
 		return c, nil
 	}
 }
@@ -116,6 +113,8 @@
 	start time.Time
 	// received reports whether any byte of the next request was read.
 	received bool
+	// evicted reports whether the connection was closed in favor of a new one.
+	evicted bool
 	// answered reports whether the caller was sent a complete answer and no further
 	// request has begun.
 	answered bool
@@ -207,6 +206,9 @@
 func (c *connection) receive(read []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.evicted {
+		return 0, net.ErrClosed
+	}
 	c.received = true
 	if c.phase != serving && !c.takeHeader(read) {
 		return 0, os.ErrDeadlineExceeded // The server answers no request that took too long.
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -111,28 +111,51 @@
 	waiting [waitKinds]list.List
 }
 
-// add adds a new connection. It returns the connection that has to be closed in favor of it, if any,
-// or ok false if there is none and the new one has to be refused.
-func (l *Listener) add(c *connection) (closed *connection, ok bool) {
+// add adds a new connection. If there are too many, it closes one that waits for its caller, and reports false if
+// there is none.
+func (l *Listener) add(c *connection) bool {
+	for !l.register(c) {
+		longest, kind := l.longestWaiting()
+		if longest == nil {
+			return false
+		}
+		if longest.evict(kind) {
+			l.exceeded(LimitConnections)
+		}
+	}
+	return true
+}
+
+// register adds a new connection unless there are too many.
+func (l *Listener) register(c *connection) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if limit := l.Limits.Connections; limit > 0 && l.registry.open >= limit {
-		if closed = l.longestWaiting(); closed == nil {
-			return nil, false
-		}
-		l.drop(closed)
+		return false
 	}
 	l.registry.open++
 	c.counted = true
 	l.enlist(c, waitHeader)
-	return closed, true
+	return true
+}
+
+// longestWaiting returns the connection that is the first to be closed, and what it waits for, or nil if requests
+// run on all.
+func (l *Listener) longestWaiting() (*connection, waitKind) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.firstToClose()
+	if c == nil {
+		return nil, waitNone
+	}
+	return c, c.wait
 }
 
-// longestWaiting returns the connection that is the first to be closed: one that has ended, one whose
+// firstToClose returns the connection that is the first to be closed: one that has ended, one whose
 // header, body or answer has stalled, or else the one that has waited longest for its next request, or for the
 // rest of its header or body. An idle one isn't closed before those that have stalled, since its next request may be on
 // its way.
-func (l *Listener) longestWaiting() *connection {
+func (l *Listener) firstToClose() *connection {
 	for _, stalled := range []struct {
 		kind  waitKind
 		after time.Duration
@@ -207,6 +230,17 @@
 	l.drop(c)
 }
 
+// removeWaiting removes a connection unless it has stopped waiting for kind.
+func (l *Listener) removeWaiting(c *connection, kind waitKind) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !c.counted || c.wait != kind {
+		return false
+	}
+	l.drop(c)
+	return true
+}
+
 func (l *Listener) drop(c *connection) {
 	if c.counted {
 		c.counted = false
@@ -257,16 +291,33 @@
 	return err == nil && peekErr == nil && n > 0
 }
 
-// evict closes a connection that waits for its caller in favor of a new one. A caller that has sent a part of
-// its request is told that it hasn't run.
-func (c *connection) evict() {
+// evict closes a connection in favor of a new one, unless it has stopped waiting for kind. A caller that has
+// sent a part of its request is told that it hasn't run.
+func (c *connection) evict(kind waitKind) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == awaitingHeader && c.received && !c.answered {
+	if !c.listener.removeWaiting(c, kind) {
+		return false
+	}
+	if c.phase != serving && c.received && !c.answered {
 		c.writeRefusal(errConnections)
 	}
+	c.evicted = true
 	c.answered = false // Nothing more is read.
 	_ = c.Conn.Close() // The server finds it closed.
+	return true
+}
+
+// begin reports whether the handler may run. It may not if the connection was evicted after the end of the header had
+// been read: the caller was told that the request hasn't run.
+func (c *connection) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return false
+	}
+	c.handled.Store(true)
+	return true
 }
 
 var (
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,7 +30,7 @@
 	exceeded map[caller.Limit]int
 }
 
-func startLimited(t *testing.T, limits caller.Limits, handler http.HandlerFunc) *limitedServer {
+func startLimited(t *testing.T, limits caller.Limits, handler http.HandlerFunc, adjust ...func(*caller.Listener, *http.Server)) *limitedServer {
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -47,6 +48,9 @@
 		return caller.Timeouts{Header: neverExpires, Idle: neverExpires}
 	}}
 	l.ConfigureServer(server)
+	for _, f := range adjust {
+		f(l, server)
+	}
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(l) }()
 	t.Cleanup(func() {
@@ -337,6 +341,58 @@
 	}
 }
 
+// A request whose caller was told that it hadn't run was run when its header was whole at that moment.
+func TestRequestThatIsRefusedDoesNotRun(t *testing.T) {
+	memory := &bounded.Budget{Limit: 256 << 10} // Short headers are counted in the parent only.
+	begins := newBegins()
+	var ran atomic.Int64
+	s := startLimited(t, caller.Limits{Connections: 1, Headers: &bounded.Budget{Limit: memory.Limit, Parent: memory}}, func(w http.ResponseWriter, r *http.Request) {
+		ran.Add(1)
+		answerOK(w, r)
+	}, begins.hold)
+	conn, r := dial(t, s.address)
+	send(t, conn, headerStart+"\r")
+	eventually(t, "the start of the header is read", func() bool { return memory.Taken() > 0 })
+	send(t, conn, "\n")
+	<-begins.begun
+	next, nextReader := dial(t, s.address)
+	want := answer{http.StatusServiceUnavailable, true, "overloaded, not run: true"}
+	if diff := cmp.Diff(want, readAnswer(t, conn, r, maxWait)); diff != "" {
+		t.Fatalf("answer (-want +got):\n%s", diff)
+	}
+	close(begins.release)
+	<-begins.closed
+	roundTrip(t, next, nextReader)
+	if diff := cmp.Diff(int64(1), ran.Load()); diff != "" {
+		t.Errorf("requests that ran (-want +got):\n%s", diff)
+	}
+}
+
+// begins holds requests up between the read of their header and the call of the handler.
+type begins struct {
+	// begun gets a value for each request that is held up, release is closed to let them go on, and closed gets a
+	// value for each connection that has ended.
+	begun, release, closed chan struct{}
+}
+
+func newBegins() *begins {
+	return &begins{make(chan struct{}, 10), make(chan struct{}), make(chan struct{}, 10)}
+}
+
+func (b *begins) hold(_ *caller.Listener, server *http.Server) {
+	next := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateActive {
+			b.begun <- struct{}{}
+			<-b.release
+		}
+		next(conn, state)
+		if state == http.StateClosed {
+			b.closed <- struct{}{}
+		}
+	}
+}
+
 // A connection above the limit is refused while requests run on all others.
 func TestNewConnectionIsRefusedWhileRequestsRun(t *testing.T) {
 	const limit = 2
