Refuse no request that has arrived for a new connection

Callers could see: 503 for a request that had arrived as a whole. Cause: until net/http took it up, its connection counted as one that waits for the header. Change: a connection whose header has ended waits for nothing. Evidence: TestRequestThatHasArrivedIsNotRefused fails before.

--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"errors"
@@ -113,8 +114,9 @@
 	start time.Time
 	// received reports whether any byte of the next request was read.
 	received bool
-	// evicted reports whether the connection was closed in favor of a new one.
-	evicted bool
+	// headerRead reports whether the whole header of the next request was read, and evicted whether the
+	// connection was closed in favor of a new one.
+	headerRead, evicted bool
 	// answered reports whether the caller was sent a complete answer and no further
 	// request has begun.
 	answered bool
@@ -141,7 +143,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateIdle {
-		c.phase, c.start, c.received, c.answered = awaitingRequest, time.Time{}, false, false
+		c.phase, c.start, c.received, c.headerRead, c.answered = awaitingRequest, time.Time{}, false, false, false
 		c.handled.Store(false)
 		c.releaseHeader()
 		c.listener.setWait(c, waitRequest)
@@ -169,7 +171,7 @@
 			// bytes of a request have arrived, which it may have read with the request
 			// before.
 			c.phase, c.received = awaitingHeader, true
-			c.listener.setWait(c, waitHeader)
+			c.awaitHeader()
 		}
 		c.start = c.clock.Now()
 		t = c.start.Add(c.timeout())
@@ -215,10 +217,25 @@
 	}
 	if c.phase == serving {
 		c.listener.bodyArrived(c, len(read))
+		return len(read), nil
 	}
+	c.headerRead = c.headerRead || bytes.Contains(read, headerEnd)
+	c.awaitHeader()
 	return len(read), nil
 }
 
+var headerEnd = []byte("\r\n\r\n")
+
+// awaitHeader records that bytes of a header have arrived. Once it is whole, the connection waits for nothing,
+// although the server may take it up later.
+func (c *connection) awaitHeader() {
+	if c.headerRead {
+		c.listener.setWait(c, waitNone)
+	} else {
+		c.listener.setWait(c, waitHeader)
+	}
+}
+
 // extendDeadline sets the deadline again if the timeout in force has not passed, and
 // reports whether the read may continue. Otherwise it returns the number of bytes that
 // have arrived and were read into b. It answers 408 to a caller that started a header
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -368,6 +368,22 @@
 	}
 }
 
+// A request that had arrived was refused for a new connection, as the server hadn't taken it up yet.
+func TestRequestThatHasArrivedIsNotRefused(t *testing.T) {
+	begins := newBegins()
+	s := startLimited(t, caller.Limits{Connections: 1}, answerOK, begins.hold)
+	conn, r := dial(t, s.address)
+	send(t, conn, headerStart+"\r\n")
+	<-begins.begun
+	refused, refusedReader := dial(t, s.address)
+	want := answer{http.StatusServiceUnavailable, true, "overloaded, not run: true"}
+	if diff := cmp.Diff(want, readAnswer(t, refused, refusedReader, maxWait)); diff != "" {
+		t.Errorf("answer to the new connection (-want +got):\n%s", diff)
+	}
+	close(begins.release)
+	readOK(t, r)
+}
+
 // begins holds requests up between the read of their header and the call of the handler.
 type begins struct {
 	// begun gets a value for each request that is held up, release is closed to let them go on, and closed gets a
