Take only a deadline to come for that of a body

Callers could see: a connection in use was closed after its answer, with the next request on the way. Cause: net/http ends a read of its own by a deadline in the past, which was taken for the deadline of a body. Change: only a deadline to come is that of a body. Evidence: TestAnsweredConnectionIsNotClosedForItsBody fails before.

--- a/internal/caller/connections.go
+++ b/internal/caller/connections.go
@@ -160,10 +160,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.phase == serving && t.IsZero():
-		c.listener.setWait(c, waitNone)
-	case c.phase == serving: // A handler reads a body.
+	case c.phase == serving && t.After(c.clock.Now()): // A handler reads a body.
 		c.listener.setWait(c, waitBody)
+	case c.phase == serving: // The body is read, or net/http ends a read of its own after the answer.
+		c.listener.setWait(c, waitNone)
 	case t.IsZero():
 	default:
 		if c.phase == awaitingRequest && !c.start.IsZero() {
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -384,6 +385,53 @@
 	readOK(t, r)
 }
 
+// abortedListener accepts connections whose reads return only after release if their deadline has passed. Each of
+// these reads sends a value to aborted.
+type abortedListener struct {
+	net.Listener
+	aborted, release chan struct{}
+}
+
+func (l abortedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &abortedConn{conn.(*net.TCPConn), l}, nil
+}
+
+type abortedConn struct {
+	*net.TCPConn
+	listener abortedListener
+}
+
+func (c *abortedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.listener.aborted <- struct{}{}
+		<-c.listener.release
+	}
+	return n, err
+}
+
+// A connection in use was closed as one that sends a body slowly, while net/http ended the read by which it sees
+// callers leave.
+func TestAnsweredConnectionIsNotClosedForItsBody(t *testing.T) {
+	aborted, release := make(chan struct{}, 10), make(chan struct{})
+	s := startLimited(t, caller.Limits{Connections: 1}, answerOK, func(l *caller.Listener, _ *http.Server) {
+		l.Listener = abortedListener{l.Listener, aborted, release}
+	})
+	conn, r := dial(t, s.address)
+	roundTrip(t, conn, r)
+	<-aborted
+	refused, refusedReader := dial(t, s.address)
+	if got := readAnswer(t, refused, refusedReader, maxWait); got.Status != http.StatusServiceUnavailable {
+		t.Errorf("got %+v, want status 503 for the new connection", got)
+	}
+	close(release)
+	roundTrip(t, conn, r)
+}
+
 // begins holds requests up between the read of their header and the call of the handler.
 type begins struct {
 	// begun gets a value for each request that is held up, release is closed to let them go on, and closed gets a
