Close a connection in use after those without a whole header

Callers saw: a connection that was used all the time was closed with its next request on the way (TestConnectionInUseIsClosedLast, known red). Cause: a host without processor time accepts connections late. They count from then on, so that one used in between looks older. Change: a connection is in use for 100 ms after its last answer, and is closed after those that have sent no whole header. TestConnectionWithoutRequestIsClosedForNewOne leaves its connection unused for 200 ms now, since it wanted the opposite of the same events. Evidence: TestConnectionInUseIsClosedAfterUnusedOnes fails before.

--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -79,6 +79,9 @@
 	// stalledTime is how long one write of an answer may take before its connection is closed in favor
 	// of a new one. A sound caller reads some 64 KiB in it.
 	stalledTime = 5 * time.Second
+	// inUseTime is how long after its last answer an idle connection is in use. Callers that keep several
+	// requests going on a connection send the next one within it.
+	inUseTime = 100 * time.Millisecond
 	// maxPending limits how many idle connections are passed over because their next request has
 	// arrived.
 	maxPending = 16
@@ -154,7 +157,8 @@
 // firstToClose returns the connection that is the first to be closed: one that has ended, one whose
 // header, body or answer has stalled, or else the one that has waited longest for its next request, or for the
 // rest of its header or body. An idle one isn't closed before those that have stalled, since its next request may be on
-// its way.
+// its way. Nor is one in use before one that has sent no whole header, which can be told that nothing has run: on a
+// host that accepts connections late, the newer of the two would seem to have waited longer.
 func (l *Listener) firstToClose() *connection {
 	for _, stalled := range []struct {
 		kind  waitKind
@@ -165,10 +169,11 @@
 		}
 	}
 	longest := l.longestIdle()
-	for _, c := range []*connection{l.first(waitHeader), l.first(waitBody)} {
-		if c != nil && (longest == nil || c.waitingSince.Before(longest.waitingSince)) {
-			longest = c
-		}
+	if c := l.first(waitHeader); c != nil && (!longest.hasWaited(inUseTime) || c.waitingSince.Before(longest.waitingSince)) {
+		longest = c
+	}
+	if c := l.first(waitBody); c != nil && (longest == nil || c.waitingSince.Before(longest.waitingSince)) {
+		longest = c
 	}
 	return longest
 }
--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -225,6 +225,7 @@
 	<-running
 	idle, idleReader := dial(t, s.address)
 	roundTrip(t, idle, idleReader)
+	time.Sleep(200 * time.Millisecond) // Until the connection is no longer in use.
 	for range 4 * limit {
 		conn, _ := dial(t, s.address)
 		send(t, conn, "G")
@@ -342,6 +343,30 @@
 	}
 }
 
+// stoppedClock is a clock whose time doesn't advance.
+type stoppedClock struct {
+	clock.System
+	now time.Time
+}
+
+func (c stoppedClock) Now() time.Time { return c.now }
+
+// A host that accepted connections late closed a connection in use for one that had waited longer.
+func TestConnectionInUseIsClosedAfterUnusedOnes(t *testing.T) {
+	const limit = 3
+	s := startLimited(t, caller.Limits{Connections: limit}, answerOK, func(l *caller.Listener, _ *http.Server) {
+		l.Clock = stoppedClock{now: time.Now()}
+	})
+	kept, keptReader := dial(t, s.address)
+	roundTrip(t, kept, keptReader)
+	for range limit {
+		conn, _ := dial(t, s.address)
+		send(t, conn, "G")
+	}
+	eventually(t, "a connection is closed", func() bool { return s.count(caller.LimitConnections) == 1 })
+	roundTrip(t, kept, keptReader)
+}
+
 // A request whose caller was told that it hadn't run was run when its header was whole at that moment.
 func TestRequestThatIsRefusedDoesNotRun(t *testing.T) {
 	memory := &bounded.Budget{Limit: 256 << 10} // Short headers are counted in the parent only.
