--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,8 @@
 	// path tells whether targets can be reached at all, addresses are those of the listed ones.
 	path      reachability.Tracker
 	addresses map[string]bool
+	// headRefusedAt is when the last refused head of an answer was logged.
+	headRefusedAt time.Time
 	// avoidHosts maps hosts to which no requests are relayed to the end of that time.
 	avoidHosts map[string]time.Time
 	stores     map[string]*cacheStore
--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -54,6 +54,24 @@
 	}
 }
 
+// refusedHeadInterval is the shortest time between two log lines of refused heads.
+const refusedHeadInterval = 10 * time.Second
+
+// RecordRefusedHead records that the head of an answer wasn't believed.
+func (g *Gateway) RecordRefusedHead(address string, err error) {
+	g.count("targets.headsRefused")
+	now := g.Clock.Now()
+	g.mu.Lock()
+	logged := now.Sub(g.headRefusedAt) >= refusedHeadInterval
+	if logged {
+		g.headRefusedAt = now
+	}
+	g.mu.Unlock()
+	if logged {
+		g.Log.Warn().Str("part", "targets").Str("address", address).Err(err).Msg("targets: answer refused, its connection is closed")
+	}
+}
+
 // PathLost reports whether this host has lost its path to all targets.
 func (g *Gateway) PathLost() bool {
 	g.mu.Lock()
