Date rows by the age of the copy also after reads of peers

Callers saw: 363 requests refused with noTarget in 1.4 s of a swap of weights, though targets had loaded a version of 6 s before. Cause: a row counts as written after the last answer of the service. A host that follows a table through its peers gets none. When the holder of the lease read the request of a version itself, that counted as made at the start of the host, and all hosts took this time from its row. Change: the time up to which peers' copies include every change counts as well, converted so that it is never late. Evidence: in a logged play the holder notes 36.8 s for a request made some 1.5 s before, and writes that to the row. TestRowReadAfterPeersIsNotAsOldAsTheLastRead fails before, with 30 s.

--- a/internal/entry/routed.go
+++ b/internal/entry/routed.go
@@ -281,6 +281,7 @@
 		}
 		f.Client, f.Relay, f.Clock, f.Steady, f.Log = h.table, relay, h.Clock, h.Steady, h.Log
 		f.Applied = h.measureLateness(f.Table)
+		f.EarliestServiceMillis = h.table.EarliestServiceMillis
 		f.NextWait = func() time.Duration { return h.readerWait(f) }
 		f.ReadsService = func() bool { return h.readsTables(startedAt) }
 		f.ReadDue = func(age, behind time.Duration) bool {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -123,6 +123,11 @@
 	return c.serviceClock.millisAt(t)
 }
 
+// EarliestServiceMillis is like ServiceMillis, but its time is never later than the one that the service shows at t.
+func (c *Client) EarliestServiceMillis(t time.Time) (era, millis int64, ok bool) {
+	return c.serviceClock.earliestMillisAt(t)
+}
+
 // observeEra records the era that an answer states, and returns it.
 func (c *Client) observeEra(response *http.Response) int64 {
 	era := c.codec().Era(response.Header)
@@ -308,7 +313,7 @@
 	page, err := c.codec().DecodePage(response.StatusCode, body)
 	c.tableDone(err == nil || errors.Is(err, ErrHistoryGone))
 	if c.Steady != nil {
-		c.serviceClock.observe(sentAt, era, page.ClockMillis)
+		c.serviceClock.observe(sentAt, c.Steady.Now().Sub(sentAt), era, page.ClockMillis)
 		page.CompleteAt = c.answeredAt(sentAt, era, page.ClockMillis)
 	}
 	page.Era = era
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -82,6 +82,10 @@
 	// Apply receives changed rows, or all rows of the table when full is set. Calls
 	// are not concurrent.
 	Apply func(rows []Row, full bool)
+	// EarliestServiceMillis returns a time of the service that is not later than the one its clock shows at
+	// a time on Steady, and its era, see Client. If it is nil, times of writes are only known by answers of
+	// the service to this host.
+	EarliestServiceMillis func(t time.Time) (era, millis int64, ok bool)
 	// Applied is called for each changed row after Apply, but not for the rows of a complete
 	// table. It may be nil.
 	Applied func(row Row)
@@ -246,9 +250,10 @@
 		return
 	}
 	var changed []Row
+	completeBefore := f.completeUpTo()
 	for _, row := range page.Rows {
 		// Rows of a peer may have a later time.
-		row.WrittenAfterMillis = max(row.WrittenAfterMillis, f.completeMillis)
+		row.WrittenAfterMillis = max(row.WrittenAfterMillis, completeBefore)
 		if row.SeenMillis == 0 {
 			row.SeenMillis = page.ClockMillis // That of a page from a peer is 0.
 		}
@@ -272,6 +277,20 @@
 	}
 }
 
+// completeUpTo returns a time on the clock of the service up to which the copy includes every change, 0 if none
+// is known. A host that follows the table through its peers has had no answer of the service for long, but its peers
+// tell it how old its copy is. The caller must hold f.mu.
+func (f *Follower) completeUpTo() int64 {
+	if f.EarliestServiceMillis == nil || f.completeAt.IsZero() {
+		return f.completeMillis
+	}
+	era, millis, ok := f.EarliestServiceMillis(f.completeAt)
+	if !ok || era != f.after.Era {
+		return f.completeMillis
+	}
+	return max(f.completeMillis, millis)
+}
+
 // put stores a row and returns true, unless the same or a newer version is known.
 // The caller must hold f.mu.
 func (f *Follower) put(row Row) bool {
@@ -364,7 +383,7 @@
 		}
 		return
 	}
-	before, completeBefore := f.rows, f.completeMillis
+	before, completeBefore := f.rows, f.completeUpTo()
 	if at.Era != f.after.Era {
 		completeBefore = 0 // A service that was restored may have another clock.
 		f.completeAt = time.Time{}
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -443,6 +443,36 @@
 	})
 }
 
+// A host that had followed the table through its peers took a row that it read itself for written at any time since
+// its own last read. All hosts then took a version of weights for requested long ago, and refused requests.
+func TestRowReadAfterPeersIsNotAsOldAsTheLastRead(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		feed, known := &fakeFeed{rows: map[string]platform.Row{}}, &tableCopy{}
+		feed.put("a", "1")
+		var reads atomic.Bool
+		f := &platform.Follower{
+			Client: feed, Relay: feed, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply,
+			ReadsService: func() bool { return false }, ReadDue: func(_, _ time.Duration) bool { return reads.Load() },
+			EarliestServiceMillis: func(t time.Time) (int64, int64, bool) { return 0, t.UnixMilli(), true },
+			Log:                   &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		}
+		ctx, end := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = f.Run(ctx) })
+		time.Sleep(30 * time.Second)
+		f.Confirm(platform.Position{Version: 1}, time.Now().Add(-500*time.Millisecond))
+		reads.Store(true)
+		feed.put("b", "1")
+		writtenAt := time.Now()
+		time.Sleep(time.Second)
+		end()
+		running.Wait()
+		if got := writtenAt.Sub(time.UnixMilli(known.writtenAfter["b"])); got < 0 || got > 600*time.Millisecond {
+			t.Errorf("the row counts as written %s before it was, want at most the age of the copy, 0.5 s", got)
+		}
+	})
+}
+
 // A row that is read first after an outage counts as written during the outage, as nobody
 // knows when. A host that was only suspended knows no outage.
 func TestRowAfterOutageIsNotAsOldAsTheLastAnswer(t *testing.T) {
--- a/internal/platform/serviceclock.go
+++ b/internal/platform/serviceclock.go
@@ -16,12 +16,14 @@
 	mu     sync.Mutex
 	era    int64
 	millis int64
-	// sentAt is when the call was sent whose answer stated millis, zero if there is none.
+	// sentAt is when the call was sent whose answer stated millis, zero if there is none, and took is how
+	// long that call took.
 	sentAt time.Time
+	took   time.Duration
 }
 
-// observe records that the answer to a call sent at sentAt stated the clock of the service.
-func (c *serviceClock) observe(sentAt time.Time, era, millis int64) {
+// observe records that the answer to a call sent at sentAt, which took some time, stated the clock of the service.
+func (c *serviceClock) observe(sentAt time.Time, took time.Duration, era, millis int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if millis <= 0 || era < c.era {
@@ -30,7 +32,7 @@
 	elapsed := sentAt.Sub(c.sentAt)
 	expected := c.millis + int64((1+maxClockDrift)*float64(elapsed.Milliseconds()))
 	if c.sentAt.IsZero() || era > c.era || millis <= expected {
-		c.era, c.millis, c.sentAt = era, millis, sentAt
+		c.era, c.millis, c.sentAt, c.took = era, millis, sentAt, took
 	}
 }
 
@@ -55,3 +57,16 @@
 	}
 	return c.era, c.millis + t.Sub(c.sentAt).Milliseconds(), true
 }
+
+// earliestMillisAt returns a time of the service that is not later than the one its clock shows at a time of this
+// host, and the present era. It returns false if the clock isn't known.
+func (c *serviceClock) earliestMillisAt(t time.Time) (era, millis int64, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sentAt.IsZero() {
+		return 0, 0, false
+	}
+	elapsed := t.Sub(c.sentAt)
+	uncertain := c.took + time.Duration(maxClockDrift*float64(elapsed.Abs()))
+	return c.era, c.millis + (elapsed - uncertain).Milliseconds() - 1, true // Both clocks are rounded.
+}
