Count an outage from the last answer to this host only

Callers could see: after an outage, a request of weights dated later than it was, so that older weights are used for longer. Change: the age of the copy bounds the times of rows only.

--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -383,14 +383,14 @@
 		}
 		return
 	}
-	before, completeBefore := f.rows, f.completeUpTo()
+	before, completeBefore, answeredBefore := f.rows, f.completeUpTo(), f.completeMillis
 	if at.Era != f.after.Era {
-		completeBefore = 0 // A service that was restored may have another clock.
+		completeBefore, answeredBefore = 0, 0 // A service that was restored may have another clock.
 		f.completeAt = time.Time{}
 	}
 	f.raiseCompleteAt(page.CompleteAt)
 	f.rows, f.removed, f.newest = map[string]Row{}, 0, Position{Era: at.Era}
-	f.completeSince, f.completeMillis = at.Version, max(millis, completeBefore)
+	f.completeSince, f.completeMillis = at.Version, max(millis, answeredBefore)
 	listed := make([]Row, 0, len(page.Rows))
 	for _, row := range page.Rows {
 		row.WrittenAfterMillis = max(row.WrittenAfterMillis, completeBefore)
--- a/internal/platform/follower_test.go
+++ b/internal/platform/follower_test.go
@@ -473,6 +473,50 @@
 	})
 }
 
+// wholePeer sends the complete table each time, as peers do that have dropped removed rows.
+type wholePeer struct{ *fakeFeed }
+
+func (p wholePeer) PeerRows(ctx context.Context, table string, _ platform.Position) (platform.Page, error) {
+	page, err := p.fakeFeed.PeerRows(ctx, table, platform.Position{})
+	page.Whole = true
+	return page, err
+}
+
+// An outage after a complete table of a peer was counted from the last answer to this host, so that rows counted as
+// written later than they were.
+func TestRowAfterOutageAndTableOfPeerIsNotTooNew(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		feed, known := &fakeFeed{rows: map[string]platform.Row{}}, &tableCopy{}
+		feed.put("a", "1")
+		var reads atomic.Bool
+		f := &platform.Follower{
+			Client: feed, Relay: wholePeer{feed}, Table: "t", Wait: time.Second, Clock: clock.System{}, Apply: known.apply,
+			ReadsService: func() bool { return false }, ReadDue: func(_, _ time.Duration) bool { return reads.Load() },
+			EarliestServiceMillis: func(t time.Time) (int64, int64, bool) { return 0, t.UnixMilli(), true },
+			Log:                   &log.Logger{Level: log.FatalLevel, Writer: &log.IOWriter{Writer: io.Discard}},
+		}
+		ctx, end := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = f.Run(ctx) })
+		time.Sleep(30 * time.Second)
+		f.Confirm(platform.Position{Version: 1}, time.Now())
+		feed.put("b", "1")
+		time.Sleep(time.Second)
+		feed.set(func() { feed.unavailable = true })
+		reads.Store(true)
+		time.Sleep(5 * time.Second)
+		feed.put("c", "1")
+		writtenAt := time.Now()
+		feed.set(func() { feed.unavailable = false })
+		time.Sleep(2 * time.Second)
+		end()
+		running.Wait()
+		if after := time.UnixMilli(known.writtenAfter["c"]); after.After(writtenAt) {
+			t.Errorf("the row counts as written %s after it was", after.Sub(writtenAt))
+		}
+	})
+}
+
 // A row that is read first after an outage counts as written during the outage, as nobody
 // knows when. A host that was only suspended knows no outage.
 func TestRowAfterOutageIsNotAsOldAsTheLastAnswer(t *testing.T) {
